--- /dev/null
+++ b/libs/base/include/base/log.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace shallotbank {
+
+enum class Severity { kDebug, kInfo, kWarning, kError };
+
+/// A numbered log event. docs/EVENTS.md lists every event; CI compares that
+/// page with `kEvents` in src/log.cc.
+enum class Event {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kSettingsInvalid = 1004,
+  kDrainDeadlinePassed = 1005,
+  kLogUnreachable = 2001,
+  kLogReachable = 2002,
+  kLogRecordsExpired = 2003,
+  kLogRecordInvalid = 2004,
+  kHostListUnreachable = 2101,
+  kHostListReachable = 2102,
+  kPeerSuspected = 3001,
+  kPeerAlive = 3002,
+  kClaimAppended = 3101,
+  kOwnershipGained = 3102,
+  kOwnershipLost = 3103,
+  kOwnershipReleased = 3104,
+  kAuthorityLapsed = 3105,
+  kWorkerUnreachable = 4001,
+  kWorkerAttached = 4002,
+  kWorkerQuarantined = 4003,
+  kTaskLost = 4101,
+  kJobFinished = 4102,
+  kMinionEjected = 5001,
+  kMinionRestored = 5002,
+  kRequestRefused = 5101,
+  kConfigurationAccepted = 6001,
+  kConfigurationConflict = 6002,
+};
+
+/// One field of a log line.
+using LogField = std::pair<std::string_view, std::string>;
+
+/// Sends log lines to stderr at `severity` or above. Call once in main.
+auto StartLogging(const std::string& process_name, Severity severity) -> void;
+auto StopLogging() -> void;
+
+/// Writes one structured line: number, name and fields as key=value. Repeats
+/// of one event beyond 20 a second are dropped and counted in the next line.
+auto LogEvent(Event event, std::initializer_list<LogField> fields) -> void;
+
+}  // namespace shallotbank
--- /dev/null
+++ b/libs/base/include/base/strong_id.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace shallotbank {
+
+/// A text identifier that does not convert to an identifier of another kind.
+template <typename Tag>
+class StrongId {
+ public:
+  StrongId() = default;
+  explicit StrongId(std::string text) : text(std::move(text)) {}
+
+  auto Text() const -> const std::string& { return this->text; }
+  auto IsEmpty() const -> bool { return this->text.empty(); }
+
+  auto operator<=>(const StrongId&) const = default;
+
+  friend auto operator<<(std::ostream& out, const StrongId& id)
+      -> std::ostream& {
+    return out << id.text;
+  }
+
+ private:
+  std::string text;
+};
+
+}  // namespace shallotbank
+
+template <typename Tag>
+struct std::hash<shallotbank::StrongId<Tag>> {
+  auto operator()(const shallotbank::StrongId<Tag>& id) const noexcept
+      -> std::size_t {
+    return std::hash<std::string>{}(id.Text());
+  }
+};
--- /dev/null
+++ b/libs/base/src/log.cc
@@ -0,0 +1,186 @@
+#include "base/log.h"
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <sstream>
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace shallotbank {
+namespace {
+
+struct EventEntry {
+  Event event;
+  Severity severity;
+  std::string_view name;
+};
+
+// Keep one entry a line: CI compares these lines with docs/EVENTS.md.
+// clang-format off
+constexpr std::array kEvents{
+    EventEntry{Event::kProcessStarted, Severity::kInfo, "process-started"},
+    EventEntry{Event::kProcessStopping, Severity::kInfo, "process-stopping"},
+    EventEntry{Event::kProcessStopped, Severity::kInfo, "process-stopped"},
+    EventEntry{Event::kSettingsInvalid, Severity::kError, "settings-invalid"},
+    EventEntry{Event::kDrainDeadlinePassed, Severity::kWarning, "drain-deadline-passed"},
+    EventEntry{Event::kLogUnreachable, Severity::kWarning, "log-unreachable"},
+    EventEntry{Event::kLogReachable, Severity::kInfo, "log-reachable"},
+    EventEntry{Event::kLogRecordsExpired, Severity::kWarning, "log-records-expired"},
+    EventEntry{Event::kLogRecordInvalid, Severity::kError, "log-record-invalid"},
+    EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
+    EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
+    EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
+    EventEntry{Event::kPeerAlive, Severity::kInfo, "peer-alive"},
+    EventEntry{Event::kClaimAppended, Severity::kInfo, "claim-appended"},
+    EventEntry{Event::kOwnershipGained, Severity::kInfo, "ownership-gained"},
+    EventEntry{Event::kOwnershipLost, Severity::kWarning, "ownership-lost"},
+    EventEntry{Event::kOwnershipReleased, Severity::kInfo, "ownership-released"},
+    EventEntry{Event::kAuthorityLapsed, Severity::kWarning, "authority-lapsed"},
+    EventEntry{Event::kWorkerUnreachable, Severity::kWarning, "worker-unreachable"},
+    EventEntry{Event::kWorkerAttached, Severity::kInfo, "worker-attached"},
+    EventEntry{Event::kWorkerQuarantined, Severity::kWarning, "worker-quarantined"},
+    EventEntry{Event::kTaskLost, Severity::kWarning, "task-lost"},
+    EventEntry{Event::kJobFinished, Severity::kInfo, "job-finished"},
+    EventEntry{Event::kMinionEjected, Severity::kWarning, "minion-ejected"},
+    EventEntry{Event::kMinionRestored, Severity::kInfo, "minion-restored"},
+    EventEntry{Event::kRequestRefused, Severity::kInfo, "request-refused"},
+    EventEntry{Event::kConfigurationAccepted, Severity::kInfo, "configuration-accepted"},
+    EventEntry{Event::kConfigurationConflict, Severity::kWarning, "configuration-conflict"},
+};
+// clang-format on
+
+constexpr int kMaxRepeatsPerSecond = 20;
+
+auto Level(Severity severity) -> log4cplus::LogLevel {
+  switch (severity) {
+    case Severity::kDebug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case Severity::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case Severity::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case Severity::kError:
+      return log4cplus::ERROR_LOG_LEVEL;
+  }
+  return log4cplus::INFO_LOG_LEVEL;
+}
+
+auto FindEntry(Event event) -> const EventEntry& {
+  for (const auto& entry : kEvents) {
+    if (entry.event == event) {
+      return entry;
+    }
+  }
+  return kEvents.front();
+}
+
+// Limits how often one event is written.
+class RepeatLimiter {
+ public:
+  // The number of lines dropped since the last one written, or -1 if this one
+  // is to be dropped.
+  auto Admit(Event event) -> int {
+    const auto now = std::chrono::steady_clock::now();
+    std::lock_guard lock(this->mutex);
+    auto& window = this->windows[event];
+    if (now - window.start > std::chrono::seconds(1)) {
+      window.start = now;
+      window.written = 0;
+    }
+    if (window.written >= kMaxRepeatsPerSecond) {
+      window.dropped++;
+      return -1;
+    }
+    window.written++;
+    return std::exchange(window.dropped, 0);
+  }
+
+ private:
+  struct Window {
+    std::chrono::steady_clock::time_point start;
+    int written = 0;
+    int dropped = 0;
+  };
+  std::mutex mutex;
+  std::map<Event, Window> windows;
+};
+
+auto AppendField(std::ostringstream& line,
+                 std::string_view key,
+                 const std::string& value) -> void {
+  line << ' ' << key << '=';
+  if (value.find_first_of(" =\"\n") == std::string::npos && !value.empty()) {
+    line << value;
+    return;
+  }
+  line << '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      line << '\\';
+    }
+    line << (c == '\n' ? ' ' : c);
+  }
+  line << '"';
+}
+
+auto ProcessLogger() -> log4cplus::Logger& {
+  static auto* logger = new log4cplus::Logger(
+      log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("shallotbank")));
+  return *logger;
+}
+
+auto LoggingStarted() -> bool& {
+  static bool started = false;
+  return started;
+}
+
+}  // namespace
+
+auto StartLogging(const std::string& process_name, Severity severity) -> void {
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "%d{%Y-%m-%dT%H:%M:%S.%q} %p " + process_name + " %m%n"));
+  ProcessLogger().addAppender(appender);
+  ProcessLogger().setLogLevel(Level(severity));
+  LoggingStarted() = true;
+}
+
+auto StopLogging() -> void {
+  if (LoggingStarted()) {
+    LoggingStarted() = false;
+    log4cplus::deinitialize();
+  }
+}
+
+auto LogEvent(Event event, std::initializer_list<LogField> fields) -> void {
+  if (!LoggingStarted()) {
+    return;
+  }
+  static RepeatLimiter limiter;
+  const int dropped = limiter.Admit(event);
+  if (dropped < 0) {
+    return;
+  }
+  const auto& entry = FindEntry(event);
+  std::ostringstream line;
+  line << "event=" << static_cast<int>(event) << " name=" << entry.name;
+  for (const auto& [key, value] : fields) {
+    AppendField(line, key, value);
+  }
+  if (dropped > 0) {
+    line << " dropped=" << dropped;
+  }
+  ProcessLogger().log(Level(entry.severity), line.str(), __FILE__, __LINE__);
+}
+
+}  // namespace shallotbank
