Add stand-ins, the worker protocol and the shard scheduler (not built yet)

Cause: the processes need a platform to run against and one place that owns the life cycle of jobs and tasks. Ruled out: one command in the log for each start (docs/design.md 4.1). Before: nothing.

--- /dev/null
+++ b/libs/scheduling/src/commands.cc
@@ -0,0 +1,138 @@
+#include <algorithm>
+
+#include "core.h"
+
+namespace shallotbank::scheduling {
+
+using std::chrono::milliseconds;
+
+auto ShardScheduler::Core::HasAuthority(TimePoint now) const -> bool {
+  return now < this->authority_until;
+}
+
+// A lower bound of the worker's clock at `when`: the clock was read before its
+// answer arrived at `clock_read_at`.
+auto ShardScheduler::Core::WorkerTime(const WorkerRecord& worker,
+                                      TimePoint when) const -> milliseconds {
+  return worker.clock +
+         std::chrono::duration_cast<milliseconds>(when - worker.clock_read_at);
+}
+
+auto ShardScheduler::Core::Schedule(WorkerRecord& worker, TimePoint when)
+    -> void {
+  this->contacts.erase({worker.next_contact, worker.worker.id});
+  worker.next_contact = when;
+  this->contacts.insert({when, worker.worker.id});
+}
+
+auto ShardScheduler::Core::EmitCommands(TimePoint now) -> void {
+  std::vector<WorkerId> due;
+  for (const auto& [when, id] : this->contacts) {
+    if (when > now) {
+      break;
+    }
+    due.push_back(id);
+  }
+  for (const auto& id : due) {
+    auto& worker = this->workers.at(id);
+    this->contacts.erase({worker.next_contact, id});
+    if (worker.in_flight != CommandKind::kNone) {
+      continue;  // The answer schedules the next contact.
+    }
+    if (!worker.is_listed && worker.attempts.empty()) {
+      this->index.RemoveWorker(id);
+      this->quarantine.ForgetWorker(id);
+      this->unreachable.erase(id);
+      this->workers.erase(id);
+      continue;
+    }
+    this->EmitCommand(worker, now);
+  }
+}
+
+auto ShardScheduler::Core::EmitCommand(WorkerRecord& worker, TimePoint now)
+    -> void {
+  WorkerCommand command;
+  if (!worker.is_attached) {
+    command.command = AttachCommand{};
+    this->Emit(worker, CommandKind::kAttach, std::move(command));
+    return;
+  }
+  if (!worker.to_stop.empty()) {
+    command.command = StopCommand{std::exchange(worker.to_stop, {})};
+    this->Emit(worker, CommandKind::kStop, std::move(command));
+    return;
+  }
+  if (!worker.to_start.empty() && this->EmitStarts(worker, now)) {
+    return;
+  }
+  this->EmitHeartbeat(worker, now);
+}
+
+auto ShardScheduler::Core::EmitStarts(WorkerRecord& worker, TimePoint now)
+    -> bool {
+  if (!this->HasAuthority(now)) {
+    return false;
+  }
+  const auto valid_until =
+      std::min(now + this->options.command_timeout, this->authority_until);
+  StartCommand start;
+  const auto count =
+      std::min(worker.to_start.size(),
+               static_cast<std::size_t>(this->options.max_tasks_per_command));
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& id = worker.to_start[i];
+    auto& attempt = this->attempts.at(id);
+    const auto& spec = this->jobs.at(attempt.job).spec;
+    attempt.start_valid_until = valid_until;
+    attempt.lease_bound = valid_until + spec.lease;
+    worker.starting.push_back(id);
+    start.tasks.push_back({id, spec.need, spec.lease, spec.run_time});
+  }
+  worker.to_start.erase(
+      worker.to_start.begin(),
+      worker.to_start.begin() + static_cast<std::ptrdiff_t>(count));
+  WorkerCommand command;
+  command.not_after = this->WorkerTime(worker, valid_until);
+  command.command = std::move(start);
+  this->Emit(worker, CommandKind::kStart, std::move(command));
+  return true;
+}
+
+// Without authority a heartbeat renews nothing; the answers of a majority at
+// this epoch give the authority back.
+auto ShardScheduler::Core::EmitHeartbeat(WorkerRecord& worker, TimePoint now)
+    -> void {
+  HeartbeatCommand heartbeat;
+  auto valid_until = now + this->options.command_timeout;
+  if (this->HasAuthority(now)) {
+    valid_until = std::min(valid_until, this->authority_until);
+    for (const auto& id : worker.attempts) {
+      auto& attempt = this->attempts.at(id);
+      if (attempt.state != AttemptState::kEnding && !attempt.is_replaced) {
+        heartbeat.renew.push_back(id);
+        attempt.lease_bound =
+            std::max(attempt.lease_bound,
+                     valid_until + this->jobs.at(attempt.job).spec.lease);
+      }
+    }
+  }
+  const auto acknowledged = std::exchange(worker.to_acknowledge, {});
+  heartbeat.acknowledge.assign(acknowledged.begin(), acknowledged.end());
+  WorkerCommand command;
+  command.not_after = this->WorkerTime(worker, valid_until);
+  command.command = std::move(heartbeat);
+  this->Emit(worker, CommandKind::kHeartbeat, std::move(command));
+}
+
+auto ShardScheduler::Core::Emit(WorkerRecord& worker,
+                                CommandKind kind,
+                                WorkerCommand command) -> void {
+  worker.in_flight = kind;
+  command.worker = worker.worker.id;
+  command.epoch = this->epoch;
+  command.timeout = this->options.command_timeout;
+  this->output.commands.push_back(std::move(command));
+}
+
+}  // namespace shallotbank::scheduling
--- /dev/null
+++ b/libs/standins/include/standins/log_standin.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include <boost/leaf.hpp>
+
+#include "http/server.h"
+#include "standins/delay_queue.h"
+#include "standins/faults.h"
+
+namespace shallotbank::standins {
+
+/// The platform's append-only log: offsets from 1, limited retention, faults.
+/// `POST /control` takes Faults as JSON, and `expire_before` to drop records
+/// below an offset; `GET /control` tells the number of appends.
+class LogStandin {
+ public:
+  explicit LogStandin(std::uint16_t port = 0);
+  ~LogStandin();
+
+  auto Start() -> boost::leaf::result<void>;
+  auto Url() const -> std::string;
+
+  auto SetFaults(Faults faults) -> void;
+  /// Drops the records below `offset`.
+  auto ExpireBefore(std::uint64_t offset) -> void;
+  auto AppendCount() const -> std::uint64_t;
+  auto Head() const -> std::uint64_t;
+
+ private:
+  auto Handle(http::Request request, http::Responder responder) -> void;
+  auto Append(const std::string& data) -> http::Response;
+  auto Read(const http::Request& request) -> http::Response;
+  auto Control(const http::Request& request) -> http::Response;
+
+  mutable std::mutex mutex;
+  Faults faults;
+  std::deque<std::string> records;
+  std::uint64_t first = 1;
+  std::uint64_t appends = 0;
+  AnswerLoss loss;
+  DelayQueue delays;
+  std::unique_ptr<http::Server> server;
+};
+
+}  // namespace shallotbank::standins
