Add the HTTP server and client

Cause: callers, operators, minions and the platform are reached over HTTP; answers must never reach a caller other than the one that asked.

The server uses Pistache's reactor, transport and threads. Every accepted socket is duplicated before Pistache sees it, and answers are written to the duplicate in the order of the requests. The client drives libcurl's multi interface on one thread; a request that is not idempotent is sent at most once, on a connection of its own.

Ruled out: Pistache's listener (it keeps its socket until it is destroyed, so new connections cannot be refused during a drain) and its idle timer (it would answer 408 to a request whose answer takes long).

--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -19,6 +19,11 @@
   std::string body;
   Duration timeout = std::chrono::seconds(2);
   std::size_t max_response_bytes = 8 << 20;
+  /// Whether the call may run twice. Such a call may use a kept connection and
+  /// is repeated by libcurl if that turns out closed. Any other call gets a
+  /// connection of its own and its request is sent at most once. GET and HEAD
+  /// always count as idempotent.
+  bool idempotent = false;
 };
 
 /// The outcome of a call. `verdict` is kRan only for a whole answer, kNotRun
--- a/libs/http/include/http/server.h
+++ b/libs/http/include/http/server.h
@@ -25,12 +25,20 @@
   std::string address = "127.0.0.1";  ///< Numeric IP address.
   std::uint16_t port = 0;             ///< 0 takes any free port.
   int threads = 2;
-  std::size_t max_request_bytes = 1 << 20;
+  std::size_t max_connections = 4096;  ///< Each takes two file descriptors.
+  std::size_t max_header_bytes = 32 << 10;
+  std::size_t max_request_bytes = 1 << 20;  ///< Of the body.
   std::size_t max_waiting_bytes_per_connection = 4 << 20;
   std::size_t max_pipelined_requests = 64;
+  /// From the first byte of a request to the end of its header.
   Duration header_timeout = std::chrono::seconds(5);
+  /// From the end of the header to the end of the body.
   Duration body_timeout = std::chrono::seconds(10);
+  /// A connection without a request is closed after this time.
   Duration keep_alive_timeout = std::chrono::seconds(60);
+  /// A connection whose caller takes no byte of an answer is closed after this
+  /// time.
+  Duration write_timeout = std::chrono::seconds(10);
   Metrics* metrics = nullptr;  ///< Optional; must outlive the server.
 };
 
@@ -50,8 +58,10 @@
   auto Port() const -> std::uint16_t;
   /// Requests that were handed to the handler and are not yet fully answered.
   auto OpenRequests() const -> std::size_t;
-  /// Answers from now on carry `Connection: close`; waits until no request is
-  /// open or `deadline` has passed. Returns the number of requests left.
+  /// Refuses new connections, closes idle ones and answers further requests on
+  /// kept ones with `Connection: close`. Waits until no request is open and no
+  /// connection can bring another, or `deadline` has passed. Returns the number
+  /// of requests left.
   auto Drain(Duration deadline) -> std::size_t;
   /// Closes all connections.
   auto Stop() -> void;
--- /dev/null
+++ b/libs/http/src/client.cc
@@ -0,0 +1,187 @@
+#include "http/client.h"
+
+#include <atomic>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include <curl/curl.h>
+
+#include "curl_call.h"
+#include "suspect_hosts.h"
+
+namespace shallotbank::http {
+namespace {
+
+/// libcurl wakes up by itself for its timers; this only bounds a lost wakeup.
+constexpr int kPollMilliseconds = 1000;
+
+constexpr long kMaxKeptConnections = 4096;
+
+auto InitialiseOnce() -> void {
+  static std::once_flag once;
+  std::call_once(once, [] { ::curl_global_init(CURL_GLOBAL_ALL); });
+}
+
+}  // namespace
+
+class Client::Impl {
+ public:
+  explicit Impl(ClientOptions given)
+      : options(given), suspects(options.max_connection_age) {
+    InitialiseOnce();
+    this->multi = ::curl_multi_init();
+    ::curl_multi_setopt(this->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+    ::curl_multi_setopt(this->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                        this->options.max_connections_per_host);
+    ::curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS, kMaxKeptConnections);
+    this->thread = std::thread([this] { this->Run(); });
+  }
+
+  ~Impl() {
+    {
+      std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    ::curl_multi_wakeup(this->multi);
+    this->thread.join();
+    ::curl_multi_cleanup(this->multi);
+  }
+
+  Impl(const Impl&) = delete;
+  auto operator=(const Impl&) -> Impl& = delete;
+
+  auto Send(Call call, Done done) -> void {
+    const auto deadline = SystemClock().Now() + call.timeout;
+    auto added =
+        std::make_unique<CurlCall>(std::move(call), std::move(done), deadline);
+    const auto* const refusal = this->TryQueue(added);
+    if (refusal != nullptr) {
+      added->Fail(refusal);
+      return;
+    }
+    ::curl_multi_wakeup(this->multi);
+  }
+
+ private:
+  /// Takes `call`, or leaves it and returns why.
+  auto TryQueue(std::unique_ptr<CurlCall>& call) -> const char* {
+    std::lock_guard lock(this->mutex);
+    if (this->stopping) {
+      return "the client is shut down";
+    }
+    if (this->calls_held >= this->options.max_queued_calls) {
+      return "the queue of calls is full";
+    }
+    this->calls_held++;
+    this->queue.push_back(std::move(call));
+    return nullptr;
+  }
+
+  auto Run() -> void {
+    while (this->StartQueued()) {
+      int running = 0;
+      ::curl_multi_perform(this->multi, &running);
+      this->FinishDone();
+      ::curl_multi_poll(this->multi, nullptr, 0, kPollMilliseconds, nullptr);
+    }
+    this->EndAll();
+  }
+
+  /// False once the client is shut down.
+  auto StartQueued() -> bool {
+    std::deque<std::unique_ptr<CurlCall>> taken;
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->stopping) {
+        return false;
+      }
+      taken.swap(this->queue);
+    }
+    for (auto& call : taken) {
+      this->Start(std::move(call));
+    }
+    return true;
+  }
+
+  auto Start(std::unique_ptr<CurlCall> call) -> void {
+    const auto now = SystemClock().Now();
+    const auto choice =
+        this->suspects.Choose(call->Url(), call->IsIdempotent(), now);
+    if (!call->Prepare(choice, this->options.connect_timeout, now) ||
+        ::curl_multi_add_handle(this->multi, call->Handle()) != CURLM_OK) {
+      this->ReleaseOne();
+      call->Fail("libcurl refused the call");
+      return;
+    }
+    auto* const handle = call->Handle();
+    this->active.emplace(handle, std::move(call));
+  }
+
+  auto FinishDone() -> void {
+    int left = 0;
+    while (const auto* message = ::curl_multi_info_read(this->multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      const auto code = message->data.result;
+      auto node = this->active.extract(message->easy_handle);
+      auto call = std::move(node.mapped());
+      if (code == CURLE_OPERATION_TIMEDOUT && call->IsStarted()) {
+        this->suspects.OnTimeout(call->Url(), SystemClock().Now());
+      }
+      ::curl_multi_remove_handle(this->multi, call->Handle());
+      this->ReleaseOne();
+      call->Finish(code);
+    }
+  }
+
+  auto ReleaseOne() -> void {
+    std::lock_guard lock(this->mutex);
+    this->calls_held--;
+  }
+
+  auto EndAll() -> void {
+    constexpr const char* kReason = "the client was shut down";
+    for (auto& [handle, call] : this->active) {
+      ::curl_multi_remove_handle(this->multi, handle);
+      call->Fail(kReason);
+    }
+    this->active.clear();
+    for (auto& call : this->queue) {
+      call->Fail(kReason);
+    }
+    this->queue.clear();
+  }
+
+  const ClientOptions options;
+  SuspectHosts suspects;  ///< Used by the client's thread only, like `active`.
+  CURLM* multi = nullptr;
+  std::unordered_map<CURL*, std::unique_ptr<CurlCall>> active;
+  std::mutex mutex;
+  std::deque<std::unique_ptr<CurlCall>> queue;
+  std::size_t calls_held = 0;  ///< Queued and active.
+  bool stopping = false;
+  std::thread thread;
+};
+
+Client::Client(ClientOptions options) : impl(std::make_unique<Impl>(options)) {}
+
+Client::~Client() = default;
+
+auto Client::Send(Call call, Done done) -> void {
+  this->impl->Send(std::move(call), std::move(done));
+}
+
+auto Client::SendAndWait(Call call) -> Reply {
+  std::promise<Reply> promise;
+  auto future = promise.get_future();
+  this->Send(std::move(call),
+             [&promise](Reply reply) { promise.set_value(std::move(reply)); });
+  return future.get();
+}
+
+}  // namespace shallotbank::http
--- /dev/null
+++ b/libs/http/src/connection.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "exchange.h"
+#include "output_queue.h"
+#include "request_reader.h"
+#include "server_state.h"
+
+namespace shallotbank::http {
+
+/// One accepted connection. Its answers are written to a duplicate of the
+/// socket, so they cannot reach a later connection that was given the same
+/// number. Answers leave in the order of the requests.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  /// Takes over `duplicate`. `epoll` must stay open until Close.
+  Connection(std::uint64_t id,
+             int duplicate,
+             int epoll,
+             std::shared_ptr<ServerState> state);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  auto operator=(const Connection&) -> Connection& = delete;
+
+  auto Id() const -> std::uint64_t { return this->id; }
+
+  /// Bytes from the caller, on the Pistache thread of this connection.
+  auto OnInput(std::string_view bytes, const Server::Handler& handler) -> void;
+  /// The caller sends nothing more. Answers still due are written: the caller
+  /// may have closed its sending side only.
+  auto OnInputEnd() -> void;
+
+  /// Queues the answer of `exchange`; see Responder::Send.
+  auto Answer(Exchange& exchange, Response response) -> bool;
+
+  /// The socket takes bytes again, or has failed.
+  auto OnWritable() -> void;
+  /// Applies all time limits. True once the connection is closed.
+  auto OnTick(TimePoint now) -> bool;
+  /// True if the connection is closed or will not take another request.
+  auto IsFinishing() const -> bool;
+  auto Close(const std::string& reason) -> void;
+
+ private:
+  auto Accept(ReadRequest& read) -> std::shared_ptr<Exchange>;
+  auto RefuseLocked(const ReadError& error) -> void;
+  auto SendContinueLocked() -> void;
+  auto SetPhaseLocked(RequestReader::Phase next) -> void;
+  auto FlushLocked() -> void;
+  auto FrontToOutputLocked() -> void;
+  auto PushLocked(std::string bytes, bool ends_request) -> void;
+  auto WriteLocked() -> void;
+  auto ArmLocked() -> void;
+  auto FinishLocked(const std::string& reason) -> void;
+  auto CloseLocked(const std::string& reason) -> void;
+  auto CloseIfIdleLocked(TimePoint now) -> void;
+  auto HasUnreadInputLocked() const -> bool;
+  auto WaitingBytesLocked() const -> std::size_t;
+
+  const std::uint64_t id;
+  const int epoll;
+  const std::shared_ptr<ServerState> state;
+  RequestReader reader;  ///< Used by the Pistache thread only.
+
+  mutable std::mutex mutex;
+  int socket;  ///< The duplicate; -1 once closed.
+  std::deque<std::shared_ptr<Exchange>> pending;
+  std::size_t answered_bytes = 0;  ///< Of answers behind one still due.
+  OutputQueue output;
+  bool discards_input = false;  ///< No further request is taken.
+  bool input_ended = false;
+  bool sending_ended = false;  ///< All answers written, FIN sent.
+  TimePoint sending_ended_at;
+  TimePoint last_progress;
+  RequestReader::Phase phase = RequestReader::Phase::kIdle;
+  TimePoint phase_since;
+};
+
+}  // namespace shallotbank::http
--- /dev/null
+++ b/libs/http/src/output_queue.cc
@@ -0,0 +1,75 @@
+#include "output_queue.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+namespace shallotbank::http {
+namespace {
+
+constexpr std::size_t kSegmentsAWrite = 16;
+
+}  // namespace
+
+auto OutputQueue::Push(std::string bytes, bool ends_request) -> void {
+  this->size += bytes.size();
+  this->segments.push_back({std::move(bytes), ends_request});
+}
+
+auto OutputQueue::Write(int socket) -> Result {
+  Result result;
+  while (!this->segments.empty()) {
+    std::array<iovec, kSegmentsAWrite> parts{};
+    const auto count = std::min(kSegmentsAWrite, this->segments.size());
+    for (std::size_t i = 0; i < count; ++i) {
+      auto& bytes = this->segments[i].bytes;
+      const auto skip = i == 0 ? this->offset : 0;
+      parts[i] = {bytes.data() + skip, bytes.size() - skip};
+    }
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = count;
+    const auto written =
+        ::sendmsg(socket, &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written < 0) {
+      const bool blocked = errno == EAGAIN || errno == EWOULDBLOCK;
+      result.status = blocked ? Status::kBlocked : Status::kFailed;
+      return result;
+    }
+    result.bytes += static_cast<std::size_t>(written);
+    result.ended_requests += this->Consume(static_cast<std::size_t>(written));
+  }
+  return result;
+}
+
+auto OutputQueue::Consume(std::size_t count) -> std::size_t {
+  std::size_t ended = 0;
+  this->size -= count;
+  this->offset += count;
+  while (!this->segments.empty() &&
+         this->offset >= this->segments.front().bytes.size()) {
+    this->offset -= this->segments.front().bytes.size();
+    ended += this->segments.front().ends_request ? 1 : 0;
+    this->segments.pop_front();
+  }
+  return ended;
+}
+
+auto OutputQueue::Clear() -> std::size_t {
+  const auto ended = std::count_if(
+      this->segments.begin(), this->segments.end(),
+      [](const Segment& segment) { return segment.ends_request; });
+  this->segments.clear();
+  this->offset = 0;
+  this->size = 0;
+  return static_cast<std::size_t>(ended);
+}
+
+}  // namespace shallotbank::http
--- /dev/null
+++ b/libs/http/src/responder.cc
@@ -0,0 +1,49 @@
+#include "http/responder.h"
+
+#include <utility>
+
+#include "connection.h"
+#include "exchange.h"
+
+namespace shallotbank::http {
+namespace {
+
+constexpr int kInternalServerError = 500;
+
+auto DroppedResponse() -> Response {
+  return {kInternalServerError,
+          {{"Content-Type", "application/json"}},
+          R"({"error":{"reason":"dropped","field":"",)"
+          R"("message":"the request was dropped without an answer",)"
+          R"("execution":"may-have-run"}})"};
+}
+
+}  // namespace
+
+Responder::Responder(std::shared_ptr<Exchange> exchange)
+    : exchange(std::move(exchange)) {}
+
+Responder::~Responder() {
+  if (this->exchange != nullptr) {
+    this->Send(DroppedResponse());
+  }
+}
+
+Responder::Responder(Responder&&) noexcept = default;
+
+auto Responder::operator=(Responder&& other) noexcept -> Responder& {
+  if (this != &other) {
+    Responder dropped(std::move(*this));
+    this->exchange = std::move(other.exchange);
+  }
+  return *this;
+}
+
+auto Responder::Send(Response response) -> bool {
+  const auto taken = std::move(this->exchange);
+  this->exchange = nullptr;
+  return taken != nullptr &&
+         taken->connection->Answer(*taken, std::move(response));
+}
+
+}  // namespace shallotbank::http
--- /dev/null
+++ b/libs/http/src/response_text.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+#include "http/message.h"
+#include "request_reader.h"
+
+namespace shallotbank::http {
+
+/// The status line and the headers of `response` with Content-Length, without
+/// Connection and without the empty line at the end.
+auto HeaderText(const Response& response) -> std::string;
+
+/// Whether an answer with `status` may have a body.
+auto AllowsBody(int status) -> bool;
+
+/// The answer to a request that was refused before it reached the handler.
+auto RefusalResponse(const ReadError& error) -> Response;
+
+}  // namespace shallotbank::http
--- /dev/null
+++ b/libs/http/src/server_state.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "http/server.h"
+
+namespace shallotbank::http {
+
+/// What the connections of one server share. It outlives the server as long as
+/// a responder is held.
+struct ServerState {
+  explicit ServerState(ServerOptions given) : options(std::move(given)) {}
+
+  auto Count(const std::string& name, const std::string& reason) -> void {
+    std::lock_guard lock(this->mutex);
+    if (this->options.metrics != nullptr) {
+      this->options.metrics->Add(name, reason);
+    }
+  }
+
+  auto EndRequest() -> void { this->open_requests.fetch_sub(1); }
+
+  ServerOptions options;
+  std::atomic<std::size_t> open_requests = 0;
+  std::atomic<bool> draining = false;
+  std::atomic<std::size_t> open_peers = 0;  ///< Sockets that Pistache holds.
+  std::mutex mutex;                         ///< Guards `options.metrics`.
+};
+
+}  // namespace shallotbank::http
