--- /dev/null
+++ b/libs/configuration/include/configuration/configuration_error.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace shallotbank::configuration {
+
+/// One fault of a configuration.
+struct ConfigurationError {
+  std::string path;         ///< Such as `teams[3].limit.tasks`.
+  std::optional<int> line;  ///< In the parsed text, from 1.
+  /// A stable name: syntax, too_large, unsupported_format, unknown_field,
+  /// missing_field, duplicate_field, duplicate_name, wrong_type, out_of_range,
+  /// bad_value, not_applicable, unknown_reference, in_use, limit_under_share,
+  /// no_worker_fits or unknown_item.
+  std::string reason;
+  std::string message;
+};
+
+/// All faults that were found; never empty when it is reported.
+struct ConfigurationErrors {
+  std::vector<ConfigurationError> errors;
+};
+
+/// `path (line n): message`.
+auto operator<<(std::ostream& out, const ConfigurationError& error)
+    -> std::ostream&;
+
+}  // namespace shallotbank::configuration
