--- /dev/null
+++ b/libs/daemon/src/peer_hub.cc
@@ -0,0 +1,203 @@
+#include "daemon/peer_hub.h"
+
+#include <set>
+
+#include "base/log.h"
+
+namespace shallotbank::daemon {
+
+// Hands calls from the RPC thread to the core loop.
+class PeerHub::Dispatcher {
+ public:
+  explicit Dispatcher(PeerHub& hub) : hub(hub) {}
+
+  auto Handle(rpc::HeartbeatRequest request,
+              rpc::Reply<rpc::HeartbeatResponse> reply) -> void {
+    this->Post(
+        [&hub = this->hub](rpc::HeartbeatRequest& heartbeat,
+                           rpc::Reply<rpc::HeartbeatResponse>& answer) {
+          hub.Heard(heartbeat.sender);
+          answer.Send({hub.handlers.describe_self()});
+        },
+        std::move(request), std::move(reply));
+  }
+  auto Handle(rpc::WitnessRequest request,
+              rpc::Reply<rpc::WitnessResponse> reply) -> void {
+    this->Forward(this->hub.handlers.witness, std::move(request),
+                  std::move(reply));
+  }
+  auto Handle(rpc::ReadRecordsRequest request,
+              rpc::Reply<rpc::ReadRecordsResponse> reply) -> void {
+    this->Forward(this->hub.handlers.read_records, std::move(request),
+                  std::move(reply));
+  }
+  auto Handle(rpc::JobStatusRequest request,
+              rpc::Reply<rpc::JobStatusResponse> reply) -> void {
+    this->Forward(this->hub.handlers.job_status, std::move(request),
+                  std::move(reply));
+  }
+  auto Handle(rpc::ListJobsRequest request,
+              rpc::Reply<rpc::ListJobsResponse> reply) -> void {
+    this->Forward(this->hub.handlers.list_jobs, std::move(request),
+                  std::move(reply));
+  }
+  auto Handle(rpc::ForwardRequest request,
+              rpc::Reply<rpc::ForwardResponse> reply) -> void {
+    this->Forward(this->hub.handlers.forward, std::move(request),
+                  std::move(reply));
+  }
+  auto Handle(rpc::ExplainRequest request,
+              rpc::Reply<rpc::ExplainResponse> reply) -> void {
+    this->Forward(this->hub.handlers.explain, std::move(request),
+                  std::move(reply));
+  }
+
+ private:
+  template <typename Request>
+  auto Forward(const Handler<Request>& handler,
+               Request request,
+               rpc::Reply<typename Request::Response> reply) -> void {
+    if (!handler) {
+      reply.Fail("this daemon does not serve the call");
+      return;
+    }
+    this->Post(
+        [&handler](Request& call,
+                   rpc::Reply<typename Request::Response>& answer) {
+          handler(std::move(call), std::move(answer));
+        },
+        std::move(request), std::move(reply));
+  }
+
+  template <typename Function, typename Request>
+  auto Post(Function function,
+            Request request,
+            rpc::Reply<typename Request::Response> reply) -> void {
+    struct Call {
+      Request request;
+      rpc::Reply<typename Request::Response> reply;
+    };
+    auto call =
+        std::make_shared<Call>(Call{std::move(request), std::move(reply)});
+    const bool posted = this->hub.loop.Post(
+        [function, call] { function(call->request, call->reply); });
+    if (!posted) {
+      this->hub.metrics.Add("rpc_calls_refused_total", "core_ring_full");
+      call->reply.Fail("the daemon is overloaded");
+    }
+  }
+
+  PeerHub& hub;
+};
+
+PeerHub::PeerHub(PeerHubOptions options, CoreLoop& loop, Metrics& metrics)
+    : options(std::move(options)),
+      loop(loop),
+      metrics(metrics),
+      dispatcher(std::make_unique<Dispatcher>(*this)),
+      client(rpc::PeerClientOptions{.metrics = &metrics}) {}
+
+PeerHub::~PeerHub() {
+  this->Stop();
+}
+
+auto PeerHub::Start(Handlers called) -> boost::leaf::result<void> {
+  this->handlers = std::move(called);
+  this->server = std::make_unique<rpc::PeerServer>(
+      rpc::PeerServerOptions{.address = this->options.listen_address,
+                             .port = this->options.listen_port,
+                             .metrics = &this->metrics},
+      *this->dispatcher);
+  return this->server->Start();
+}
+
+auto PeerHub::Address() const -> std::string {
+  return this->options.listen_address + ":" +
+         std::to_string(this->server->Port());
+}
+
+auto PeerHub::Stop() -> void {
+  this->client.Stop();
+  if (this->server) {
+    this->server->Stop();
+  }
+}
+
+auto PeerHub::Find(const ProcessId& process) const -> const PeerInfo* {
+  const auto found = this->peers.find(process);
+  return found == this->peers.end() ? nullptr : &found->second;
+}
+
+auto PeerHub::IsAlive(const ProcessId& process) const -> bool {
+  const auto* peer = this->Find(process);
+  return peer != nullptr && !peer->is_suspected;
+}
+
+auto PeerHub::Heard(const rpc::PeerState& state) -> void {
+  if (state.process.IsEmpty()) {
+    return;
+  }
+  auto& peer = this->peers[state.process];
+  const bool was_new = peer.address.empty();
+  peer.state = state;
+  peer.address = state.rpc_address;
+  peer.last_heard = SystemClock().Now();
+  if (peer.is_suspected || was_new) {
+    peer.is_suspected = false;
+    LogEvent(Event::kPeerAlive, {{"peer", state.process.Text()}});
+  }
+  if (this->handlers.heard) {
+    this->handlers.heard(peer);
+  }
+}
+
+auto PeerHub::Tick(TimePoint now) -> void {
+  for (auto it = this->peers.begin(); it != this->peers.end();) {
+    auto& peer = it->second;
+    if (!peer.is_suspected &&
+        now - peer.last_heard > this->options.suspicion_after) {
+      peer.is_suspected = true;
+      this->metrics.Add("peers_suspected_total");
+      LogEvent(Event::kPeerSuspected, {{"peer", it->first.Text()}});
+    }
+    if (now - peer.last_heard > this->options.forget_after) {
+      it = this->peers.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (now < this->next_heartbeat) {
+    return;
+  }
+  this->next_heartbeat = now + this->options.heartbeat_interval;
+  std::set<std::string> addresses(this->options.seeds.begin(),
+                                  this->options.seeds.end());
+  for (const auto& [process, peer] : this->peers) {
+    addresses.insert(peer.address);
+  }
+  addresses.erase(this->Address());
+  for (const auto& address : addresses) {
+    this->SendHeartbeat(address);
+  }
+}
+
+auto PeerHub::SendHeartbeat(const std::string& address) -> void {
+  auto& is_open = this->heartbeat_open[address];
+  if (is_open) {
+    return;
+  }
+  is_open = true;
+  this->Call<rpc::HeartbeatRequest>(
+      address, {this->handlers.describe_self()},
+      this->options.heartbeat_timeout,
+      [this, address](rpc::CallResult<rpc::HeartbeatResponse> result) {
+        this->heartbeat_open[address] = false;
+        if (result.response) {
+          this->Heard(result.response->callee);
+        } else {
+          this->metrics.Add("peer_heartbeats_failed_total", result.reason);
+        }
+      });
+}
+
+}  // namespace shallotbank::daemon
