--- /dev/null
+++ b/libs/queueing/include/queueing/amount.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/resources.h"
+
+namespace shallotbank::queueing {
+
+/// Resources together with a number of tasks, as running amounts and upper
+/// limits are counted.
+struct Amount {
+  Resources resources;
+  std::int64_t tasks = 0;
+
+  auto operator==(const Amount&) const -> bool = default;
+
+  auto operator+=(const Amount& other) -> Amount& {
+    this->resources += other.resources;
+    this->tasks += other.tasks;
+    return *this;
+  }
+  auto operator-=(const Amount& other) -> Amount& {
+    this->resources -= other.resources;
+    this->tasks -= other.tasks;
+    return *this;
+  }
+  friend auto operator+(Amount left, const Amount& right) -> Amount {
+    return left += right;
+  }
+
+  auto FitsIn(const Amount& room) const -> bool {
+    return this->tasks <= room.tasks && this->resources.FitsIn(room.resources);
+  }
+  auto IsNonNegative() const -> bool {
+    return this->tasks >= 0 && this->resources.IsNonNegative();
+  }
+};
+
+/// The largest value of each component of a limit; stands for "no limit".
+inline constexpr std::int64_t kUnlimited = std::int64_t{1} << 40;
+
+/// A limit that no running amount reaches.
+inline constexpr Amount kNoLimit{{kUnlimited, kUnlimited, kUnlimited},
+                                 kUnlimited};
+
+}  // namespace shallotbank::queueing
--- /dev/null
+++ b/libs/queueing/src/fair_queue_policy.cc
@@ -0,0 +1,109 @@
+#include "bounds.h"
+#include "fair_queue_state.h"
+
+namespace shallotbank::queueing {
+
+auto FairQueue::State::FindOrAddTeam(const TeamId& id) -> Team& {
+  auto& team = this->teams[id];
+  if (!team) {
+    team = std::make_unique<Team>(id, this->shapes);
+  }
+  return *team;
+}
+
+auto FairQueue::State::SetPolicy(const QueuePolicy& new_policy) -> void {
+  for (auto& [id, team] : this->teams) {
+    team->organisation = nullptr;
+    team->limit = {};
+  }
+  this->policy = new_policy;
+  this->organisations.clear();
+  for (const auto& source : this->policy.organisations) {
+    auto& organisation =
+        *this->organisations.emplace_back(std::make_unique<Organisation>());
+    organisation.id = source.id;
+    for (const auto& team_source : source.teams) {
+      auto& team = this->FindOrAddTeam(team_source.id);
+      team.organisation = &organisation;
+      team.limit = team_source.limit;
+      organisation.teams.push_back(&team);
+      organisation.running += team.running.resources;
+    }
+  }
+  this->UpdateEntitlements();
+  std::erase_if(this->teams, [](const auto& item) {
+    const Team& team = *item.second;
+    return team.organisation == nullptr && team.queue.Jobs() == 0 &&
+           team.running == Amount{} && team.held == Amount{};
+  });
+  this->RoomFreed();
+}
+
+auto FairQueue::State::UpdateEntitlements() -> void {
+  double total = 0;
+  for (const auto& source : this->policy.organisations) {
+    total += source.weight;
+  }
+  for (std::size_t k = 0; k < this->organisations.size(); ++k) {
+    const auto& source = this->policy.organisations[k];
+    auto& organisation = *this->organisations[k];
+    organisation.entitlement = source.weight / total;
+    double team_total = 0;
+    for (const auto& team : source.teams) {
+      team_total += team.weight;
+    }
+    for (std::size_t t = 0; t < source.teams.size(); ++t) {
+      auto& team = *organisation.teams[t];
+      team.entitlement =
+          organisation.entitlement * source.teams[t].weight / team_total;
+      this->UpdateUse(team);
+    }
+  }
+}
+
+auto FairQueue::State::UpdateUse(Team& team) -> void {
+  team.is_stale = true;
+  if (team.organisation == nullptr) {
+    return;
+  }
+  auto& organisation = *team.organisation;
+  team.use_ratio =
+      DominantShare(team.running.resources, this->policy.capacity) /
+      team.entitlement;
+  organisation.use_ratio =
+      DominantShare(organisation.running, this->policy.capacity) /
+      organisation.entitlement;
+}
+
+auto FairQueue::State::SetHeld(const TeamId& id, const Amount& amount) -> void {
+  auto& team = this->FindOrAddTeam(id);
+  team.held = amount;
+  team.is_stale = true;
+}
+
+auto FairQueue::State::SetLimit(const TeamId& id, const Amount& limit) -> bool {
+  const auto found = this->teams.find(id);
+  if (found == this->teams.end() || found->second->organisation == nullptr ||
+      !IsLimit(limit)) {
+    return false;
+  }
+  found->second->limit = limit;
+  found->second->is_stale = true;
+  return true;
+}
+
+auto FairQueue::State::Shares() const -> std::vector<TeamShare> {
+  std::vector<TeamShare> shares;
+  for (const auto& organisation : this->organisations) {
+    for (const auto* team : organisation->teams) {
+      shares.push_back(
+          {organisation->id, team->id, team->running, team->limit,
+           team->queue.Jobs(),
+           DominantShare(team->running.resources, this->policy.capacity),
+           team->entitlement});
+    }
+  }
+  return shares;
+}
+
+}  // namespace shallotbank::queueing
--- /dev/null
+++ b/libs/queueing/src/shape_table.cc
@@ -0,0 +1,80 @@
+#include "shape_table.h"
+
+#include <boost/container_hash/hash.hpp>
+
+namespace shallotbank::queueing {
+namespace {
+
+auto NeedsAtLeast(const ShapeKey& larger, const ShapeKey& smaller) -> bool {
+  if (larger == smaller) {
+    return true;
+  }
+  return larger.only_job == 0 && smaller.only_job == 0 &&
+         larger.shape.placement_class == smaller.shape.placement_class &&
+         larger.shape.tasks >= smaller.shape.tasks &&
+         smaller.shape.need.FitsIn(larger.shape.need);
+}
+
+}  // namespace
+
+auto ShapeKeyHash::operator()(const ShapeKey& key) const -> std::size_t {
+  std::size_t seed = 0;
+  boost::hash_combine(seed, key.shape.need.cores_milli);
+  boost::hash_combine(seed, key.shape.need.memory_mib);
+  boost::hash_combine(seed, key.shape.need.accelerators);
+  boost::hash_combine(seed, key.shape.tasks);
+  boost::hash_combine(seed, key.shape.placement_class);
+  boost::hash_combine(seed, key.only_job);
+  return seed;
+}
+
+auto ShapeTable::Acquire(const ShapeKey& key) -> Entry* {
+  const auto [found, is_new] = this->entries.try_emplace(key);
+  auto& entry = found->second;
+  entry.references++;
+  if (is_new) {
+    entry.key = key;
+    for (const auto& refusal : this->refused) {
+      if (NeedsAtLeast(key, refusal.key)) {
+        entry.blocked = refusal.reason;
+        this->blocked.push_back(key);
+        break;
+      }
+    }
+  }
+  return &entry;
+}
+
+auto ShapeTable::Release(Entry* entry) -> void {
+  if (--entry->references == 0) {
+    const auto key = entry->key;
+    this->entries.erase(key);
+  }
+}
+
+auto ShapeTable::Block(const ShapeKey& key, BlockReason reason) -> void {
+  this->refused.push_back({key, reason});
+  for (auto& [other, entry] : this->entries) {
+    if (!entry.blocked && NeedsAtLeast(other, key)) {
+      entry.blocked = reason;
+      this->blocked.push_back(other);
+    }
+  }
+}
+
+auto ShapeTable::UnblockAll() -> bool {
+  if (this->refused.empty()) {
+    return false;
+  }
+  this->refused.clear();
+  for (const auto& key : this->blocked) {
+    const auto found = this->entries.find(key);
+    if (found != this->entries.end()) {
+      found->second.blocked.reset();
+    }
+  }
+  this->blocked.clear();
+  return true;
+}
+
+}  // namespace shallotbank::queueing
--- /dev/null
+++ b/libs/queueing/src/team_queue.cc
@@ -0,0 +1,70 @@
+#include "team_queue.h"
+
+namespace shallotbank::queueing {
+
+auto TeamQueue::Insert(Job& job) -> void {
+  auto* shape = this->shapes->Acquire(job.StartShape());
+  const auto [found, is_new] =
+      this->groups.try_emplace({shape, job.accepted.is_urgent});
+  auto& group = found->second;
+  if (is_new) {
+    group.shape = shape;
+    group.is_urgent = job.accepted.is_urgent;
+    group.start = {Times(job.accepted.need, job.StartTasks()),
+                   job.StartTasks()};
+  } else {
+    this->shapes->Release(shape);
+  }
+  const bool is_first =
+      group.jobs.empty() || job.order < group.jobs.begin()->first;
+  if (is_first) {
+    this->Unlink(group);
+  }
+  group.jobs.emplace(job.order, &job);
+  if (is_first) {
+    this->Link(group);
+  }
+  job.group = &group;
+  this->jobs++;
+}
+
+auto TeamQueue::Remove(Job& job) -> void {
+  auto& group = *job.group;
+  const bool is_first = group.jobs.begin()->first == job.order;
+  if (is_first) {
+    this->Unlink(group);
+  }
+  group.jobs.erase(job.order);
+  job.group = nullptr;
+  this->jobs--;
+  if (!group.jobs.empty()) {
+    if (is_first) {
+      this->Link(group);
+    }
+    return;
+  }
+  auto* shape = group.shape;
+  this->groups.erase({shape, group.is_urgent});
+  this->shapes->Release(shape);
+}
+
+auto TeamQueue::Unlink(const JobGroup& group) -> void {
+  if (group.jobs.empty()) {
+    return;
+  }
+  const auto& first = group.jobs.begin()->first;
+  this->all.erase(first);
+  if (group.is_urgent) {
+    this->urgent.erase(first);
+  }
+}
+
+auto TeamQueue::Link(JobGroup& group) -> void {
+  const auto& first = group.jobs.begin()->first;
+  this->all.emplace(first, &group);
+  if (group.is_urgent) {
+    this->urgent.emplace(first, &group);
+  }
+}
+
+}  // namespace shallotbank::queueing
