Add the rpc library: Cap'n Proto calls between processes

The processes need heartbeats, witness, log catch-up, job queries and forwarded requests between each other on TCP.

Each server and each client runs one kj event loop on a thread of its own. Other threads hand tasks over through a mutex and an eventfd. kj::Executor was ruled out: its hand-over runs inside the uninstrumented library, and ThreadSanitizer reports it in a two-line use.

--- /dev/null
+++ b/libs/rpc/src/client_context.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <kj/timer.h>
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "open_call.h"
+#include "peer_loads.h"
+#include "rpc/peer_client.h"
+
+namespace shallotbank::rpc {
+
+inline auto operator+=(Traffic& sum, const Traffic& part) -> Traffic& {
+  sum.bytes_sent += part.bytes_sent;
+  sum.bytes_received += part.bytes_received;
+  sum.segments_sent += part.segments_sent;
+  sum.segments_received += part.segments_received;
+  return sum;
+}
+
+/// What the links of one client share on its event loop.
+struct ClientContext {
+  const PeerClientOptions& options;
+  PeerLoads& loads;
+  kj::Timer& timer;
+  std::mt19937_64 random;
+
+  auto Count(const std::string& counter, const std::string& reason) const
+      -> void {
+    if (this->options.metrics != nullptr) {
+      this->options.metrics->Add(counter, reason);
+    }
+  }
+
+  /// Ends a call that was admitted; the second and later times do nothing.
+  auto Finish(OpenCall& call, CallResult<AnyResponse> result) const -> void {
+    if (std::exchange(call.is_finished, true)) {
+      return;
+    }
+    // Before `done`, which may start another call.
+    this->loads.Release(call.address, call.bytes);
+    if (result.verdict == Verdict::kNotRun) {
+      this->Count("rpc_calls_not_run_total", result.reason);
+    } else if (result.verdict == Verdict::kMayHaveRun) {
+      this->Count("rpc_calls_may_have_run_total", result.reason);
+    }
+    const auto done = std::exchange(call.done, nullptr);
+    done(std::move(result));
+  }
+
+  /// Ends a call without an answer; what was handed over may have run.
+  auto Fail(OpenCall& call, std::string reason, std::string message) const
+      -> void {
+    this->Finish(call, {.verdict = call.is_handed_over ? Verdict::kMayHaveRun
+                                                       : Verdict::kNotRun,
+                        .response = std::nullopt,
+                        .reason = std::move(reason),
+                        .message = std::move(message)});
+  }
+};
+
+}  // namespace shallotbank::rpc
--- /dev/null
+++ b/libs/rpc/src/wire_call.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <kj/async.h>
+
+#include "peer.capnp.h"
+#include "rpc/messages.h"
+
+namespace shallotbank::rpc {
+
+/// Hands a call to the connection of `peer`.
+auto SendCall(wire::Peer::Client& peer, const AnyRequest& request)
+    -> kj::Promise<AnyResponse>;
+
+}  // namespace shallotbank::rpc
