Add the scheduler daemon and most of the entry daemon

Cause: the whole path needs its two daemons. Ruled out: a callback for each kind of failure; refusals are typed errors that one place turns into answers. Before: nothing.

--- /dev/null
+++ b/apps/entry/api.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "base/metrics.h"
+#include "base/verdict.h"
+#include "daemon/common_settings.h"
+#include "daemon/core_loop.h"
+#include "daemon/host_poller.h"
+#include "daemon/log_view.h"
+#include "daemon/peer_hub.h"
+#include "http/client.h"
+#include "http/message.h"
+#include "http/responder.h"
+
+namespace shallotbank::entry {
+
+/// What the services of the entry daemon share. Used on the core loop only.
+struct Context {
+  const daemon::CommonSettings& settings;
+  ProcessId process;
+  std::string operator_key_sha256;
+  daemon::CoreLoop& loop;
+  daemon::LogView& log;
+  daemon::HostPoller& hosts;
+  daemon::PeerHub& peers;
+  http::Client& client;
+  Metrics& metrics;
+};
+
+/// A request of a caller or operator, with the right to answer it.
+struct ApiCall {
+  http::Request request;
+  http::Responder responder;
+  TimePoint received_at;
+  std::string request_id;  ///< The caller's, or one made here.
+
+  /// The value of a header, or empty.
+  auto Header(const char* name) const -> std::string;
+};
+
+namespace header {
+inline constexpr const char* kKey = "Shallotbank-Key";
+inline constexpr const char* kTeam = "Shallotbank-Team";
+inline constexpr const char* kProfile = "Shallotbank-Profile";
+inline constexpr const char* kRequestId = "Shallotbank-Request-Id";
+inline constexpr const char* kDeadline = "Shallotbank-Deadline-Ms";
+inline constexpr const char* kOperatorKey = "Shallotbank-Operator-Key";
+inline constexpr const char* kReplayed = "Shallotbank-Replayed";
+inline constexpr const char* kIdempotencyKey = "Idempotency-Key";
+inline constexpr const char* kHost = "Shallotbank-Host";
+}  // namespace header
+
+/// Answers with JSON and the request id.
+auto Reply(const Context& context,
+           ApiCall& call,
+           int status,
+           const nlohmann::json& body) -> void;
+
+/// Answers with a refusal and counts it by its reason.
+auto Refuse(const Context& context,
+            ApiCall& call,
+            int status,
+            const Refusal& refusal) -> void;
+
+/// The HTTP status for an append that did not succeed.
+auto StatusOf(Verdict verdict) -> int;
+
+/// The refusal for records that could not be appended, or whose fate is not
+/// known.
+auto LogRefusal(const daemon::RecordedResult& result) -> Refusal;
+
+}  // namespace shallotbank::entry
--- /dev/null
+++ b/apps/entry/authorization.cc
@@ -0,0 +1,139 @@
+#include "authorization.h"
+
+#include <openssl/crypto.h>
+
+namespace shallotbank::entry {
+namespace {
+
+namespace leaf = boost::leaf;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::uint32_t kRecordsPerRead = 500;
+constexpr std::chrono::milliseconds kReadTimeout{500};
+
+auto Error(int status,
+           std::string reason,
+           std::string field,
+           std::string message) -> leaf::error_id {
+  return leaf::new_error(
+      ApiError{status, Refusal{Verdict::kNotRun, std::move(reason),
+                               std::move(field), std::move(message)}});
+}
+
+auto EqualInConstantTime(const std::string& left, const std::string& right)
+    -> bool {
+  return left.size() == right.size() &&
+         CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+}  // namespace
+
+auto Authorization::CheckProfile(const ApiCall& call) -> leaf::result<Caller> {
+  BOOST_LEAF_CHECK(this->CheckView());
+  const auto& configuration =
+      this->context.log.State()->Configuration().Get();
+  const auto name = call.Header(header::kProfile);
+  if (name.empty()) {
+    return Error(400, "missing_header", header::kProfile,
+                 "the request must name a profile");
+  }
+  Caller caller;
+  caller.profile = configuration.FindProfile(ProfileName(name));
+  if (caller.profile == nullptr) {
+    return Error(kNotFound, "unknown_profile", header::kProfile,
+                 "there is no profile '" + name + "'");
+  }
+  caller.team = TeamId(call.Header(header::kTeam));
+  const auto* queue = configuration.FindQueue(caller.profile->queue);
+  const bool is_request =
+      caller.profile->job_class == configuration::JobClass::kRequest;
+  const bool is_open = queue != nullptr && queue->open;
+  if (is_open && (is_request || configuration.FindTeam(caller.team) != nullptr)) {
+    return caller;
+  }
+  BOOST_LEAF_CHECK(this->CheckTeam(call, caller.team));
+  return caller;
+}
+
+auto Authorization::CheckTeam(const ApiCall& call, const TeamId& team)
+    -> leaf::result<void> {
+  BOOST_LEAF_CHECK(this->CheckView());
+  if (call.Header(header::kTeam).empty()) {
+    return Error(kUnauthorized, "missing_header", header::kTeam,
+                 "the request must name the team of its key");
+  }
+  if (call.Header(header::kKey).empty()) {
+    return Error(kUnauthorized, "missing_header", header::kKey,
+                 "the request must carry a key of its team");
+  }
+  const auto& configuration =
+      this->context.log.State()->Configuration().Get();
+  const bool is_own_team = call.Header(header::kTeam) == team.Text();
+  if (!is_own_team ||
+      !configuration.Authenticate(team, call.Header(header::kKey))) {
+    return Error(kUnauthorized, "invalid_key", header::kKey,
+                 "the key is not a valid key of the team");
+  }
+  return {};
+}
+
+auto Authorization::CheckOperator(const ApiCall& call) -> leaf::result<void> {
+  const auto hash =
+      configuration::Sha256Hex(call.Header(header::kOperatorKey));
+  if (!EqualInConstantTime(hash, this->context.operator_key_sha256)) {
+    return Error(kUnauthorized, "invalid_operator_key", header::kOperatorKey,
+                 "the operator key is missing or not valid");
+  }
+  return {};
+}
+
+auto Authorization::CheckView() -> leaf::result<void> {
+  if (this->context.log.State() == nullptr) {
+    return Error(kUnavailable, "not_ready", "",
+                 "this host has not read the configuration yet");
+  }
+  const auto judgement = this->Judge();
+  if (!judgement.is_fresh) {
+    return Error(kUnavailable, "stale_view", "",
+                 std::string("this host's view of the configuration may be out "
+                             "of date (") +
+                     judgement.reason + ")");
+  }
+  return {};
+}
+
+auto Authorization::Judge() -> ViewJudgement {
+  const auto now = SystemClock().Now();
+  std::vector<PeerView> views;
+  for (const auto& [process, peer] : this->context.peers.Peers()) {
+    views.push_back({peer.address, peer.state.log_head, now - peer.last_heard,
+                     peer.state.log_age});
+  }
+  auto judgement = JudgeView(now - this->context.log.LastGoodRead(),
+                             this->context.log.Head(), views);
+  if (judgement.read_from && !this->is_reading) {
+    this->ReadFrom(*judgement.read_from);
+  }
+  return judgement;
+}
+
+auto Authorization::ReadFrom(const std::string& address) -> void {
+  this->is_reading = true;
+  this->context.peers.Call<rpc::ReadRecordsRequest>(
+      address, {this->context.log.Head() + 1, kRecordsPerRead}, kReadTimeout,
+      [this](rpc::CallResult<rpc::ReadRecordsResponse> result) {
+        this->is_reading = false;
+        if (!result.response) {
+          return;
+        }
+        std::vector<platform::LogRecord> records;
+        for (auto& record : result.response->records) {
+          records.push_back({record.offset, std::move(record.data)});
+        }
+        this->context.log.ApplyFromPeer(records);
+      });
+}
+
+}  // namespace shallotbank::entry
--- /dev/null
+++ b/apps/entry/job_service.cc
@@ -0,0 +1,326 @@
+#include "job_service.h"
+
+#include <algorithm>
+
+#include "daemon/job_view.h"
+#include "journal/claim_table.h"
+
+namespace shallotbank::entry {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr int kAccepted = 202;
+constexpr int kNotFound = 404;
+constexpr int kUnprocessable = 422;
+constexpr std::chrono::seconds kSubmitTimeout{5};
+constexpr std::chrono::milliseconds kOwnerTimeout{800};
+constexpr std::size_t kListedJobs = 200;
+constexpr std::int64_t kLongestRunMs = 30LL * 24 * 3600 * 1000;
+
+auto Error(int status,
+           std::string reason,
+           std::string field,
+           std::string message) -> leaf::error_id {
+  return leaf::new_error(
+      ApiError{status, Refusal{Verdict::kNotRun, std::move(reason),
+                               std::move(field), std::move(message)}});
+}
+
+// The fields that a submission may set beside its profile.
+struct Submission {
+  std::int64_t tasks = 0;
+  std::optional<std::chrono::milliseconds> expected_run;
+};
+
+auto ReadNumber(const json& value,
+                const std::string& field,
+                std::int64_t highest) -> leaf::result<std::int64_t> {
+  if (!value.is_number_integer() || value.get<std::int64_t>() < 1 ||
+      value.get<std::int64_t>() > highest) {
+    return Error(400, "invalid_field", field,
+                 "must be a whole number from 1 to " + std::to_string(highest));
+  }
+  return value.get<std::int64_t>();
+}
+
+auto ParseSubmission(const std::string& body,
+                     const configuration::Profile& profile)
+    -> leaf::result<Submission> {
+  Submission submission;
+  submission.tasks = profile.tasks;
+  submission.expected_run = profile.expected_run;
+  if (body.empty()) {
+    return submission;
+  }
+  const auto document = json::parse(body, nullptr, false);
+  if (!document.is_object()) {
+    return Error(400, "malformed_body", "", "the body must be a JSON object");
+  }
+  for (const auto& [field, value] : document.items()) {
+    if (field == "tasks") {
+      BOOST_LEAF_ASSIGN(submission.tasks,
+                        ReadNumber(value, field, profile.max_tasks));
+    } else if (field == "expected_run_ms") {
+      BOOST_LEAF_AUTO(run, ReadNumber(value, field, kLongestRunMs));
+      submission.expected_run = std::chrono::milliseconds(run);
+    } else {
+      return Error(400, "unknown_field", field, "there is no such field");
+    }
+  }
+  return submission;
+}
+
+}  // namespace
+
+auto JobService::Submit(ApiCall call) -> void {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(caller, this->authorization.CheckProfile(call));
+        BOOST_LEAF_AUTO(spec, this->MakeSpec(call, caller));
+        const auto* known = this->context.log.State()->Jobs().FindByKey(
+            spec.team, spec.idempotency_key);
+        if (!spec.idempotency_key.empty() && known != nullptr) {
+          Reply(this->context, call, kAccepted,
+                {{"job", known->spec.id.Text()}, {"repeated", true}});
+          return {};
+        }
+        BOOST_LEAF_CHECK(this->CheckFeasible(spec));
+        this->AppendJob(std::make_shared<ApiCall>(std::move(call)),
+                        std::move(spec));
+        return {};
+      },
+      [&](const ApiError& error) {
+        Refuse(this->context, call, error.status, error.refusal);
+      },
+      [&] { Refuse(this->context, call, 500, {.reason = "internal_error"}); });
+}
+
+auto JobService::MakeSpec(const ApiCall& call, const Caller& caller)
+    -> leaf::result<journal::JobSpec> {
+  const auto& profile = *caller.profile;
+  if (profile.job_class == configuration::JobClass::kRequest) {
+    return Error(kUnprocessable, "profile_not_for_jobs", header::kProfile,
+                 "the profile is for requests to minions; use /v1/requests");
+  }
+  BOOST_LEAF_AUTO(submission, ParseSubmission(call.request.body, profile));
+  const auto& policy =
+      this->context.log.State()->Configuration().Get().GetPolicy();
+  journal::JobSpec spec;
+  spec.id = JobId(this->context.process.Text() + "-" +
+                  std::to_string(this->next_job++));
+  spec.team = caller.team;
+  spec.profile = profile.name;
+  spec.queue = profile.queue;
+  spec.shard = configuration::ShardAt(
+      static_cast<std::int64_t>(this->next_job) % policy.shards);
+  spec.job_class = profile.job_class;
+  spec.priority = profile.priority;
+  spec.idempotent = profile.idempotent;
+  spec.single_run = profile.single_run;
+  spec.allow = profile.allow;
+  spec.need = profile.need;
+  spec.tasks = submission.tasks;
+  spec.attempts = profile.attempts;
+  spec.lease = profile.lease;
+  spec.patience = profile.patience;
+  spec.expected_run = submission.expected_run;
+  spec.idempotency_key = call.Header(header::kIdempotencyKey);
+  return spec;
+}
+
+// Says at once if a job can never run: no worker is large enough, or it needs
+// more than its team may have.
+auto JobService::CheckFeasible(const journal::JobSpec& spec)
+    -> leaf::result<void> {
+  const auto* team =
+      this->context.log.State()->Configuration().Get().FindTeam(spec.team);
+  if (team == nullptr) {
+    return Error(kUnprocessable, "unknown_team", header::kTeam,
+                 "there is no such team");
+  }
+  const auto at_once =
+      spec.job_class == configuration::JobClass::kGang ? spec.tasks : 1;
+  if (!Times(spec.need, at_once).FitsIn(team->limit.resources) ||
+      at_once > team->limit.tasks) {
+    return Error(kUnprocessable, "exceeds_team_limit", "tasks",
+                 "the job needs more at once than its team's upper limit");
+  }
+  const auto& hosts = this->context.hosts.Table().Hosts();
+  const bool is_known = !hosts.empty();
+  const bool fits_somewhere =
+      std::any_of(hosts.begin(), hosts.end(), [&](const auto& entry) {
+        return entry.second.role == platform::HostRole::kWorker &&
+               spec.need.FitsIn(entry.second.capacity);
+      });
+  if (is_known && !fits_somewhere) {
+    return Error(kUnprocessable, "larger_than_any_worker", header::kProfile,
+                 "a task of the profile needs more than any worker has");
+  }
+  return {};
+}
+
+auto JobService::AppendJob(const std::shared_ptr<ApiCall>& call,
+                           journal::JobSpec spec) -> void {
+  const auto id = spec.id;
+  const auto team = spec.team;
+  const auto key = spec.idempotency_key;
+  this->context.log.Append(
+      {journal::JobAccepted{std::move(spec)}},
+      call->received_at + kSubmitTimeout,
+      [this, call, id, team, key](const daemon::RecordedResult& result) {
+        if (result.verdict != Verdict::kRan) {
+          auto refusal = LogRefusal(result);
+          Refuse(this->context, *call, StatusOf(result.verdict), refusal);
+          return;
+        }
+        const bool is_valid =
+            result.outcomes.empty() || result.outcomes[0].valid;
+        if (is_valid) {
+          this->context.metrics.Add("jobs_accepted_total");
+          Reply(this->context, *call, kAccepted, {{"job", id.Text()}});
+          return;
+        }
+        const auto* known =
+            this->context.log.State()->Jobs().FindByKey(team, key);
+        if (!key.empty() && known != nullptr) {
+          Reply(this->context, *call, kAccepted,
+                {{"job", known->spec.id.Text()}, {"repeated", true}});
+          return;
+        }
+        Refuse(this->context, *call, 503,
+               {Verdict::kNotRun, std::string(result.outcomes[0].reason), "",
+                "the job was not accepted"});
+      });
+}
+
+auto JobService::FindJob(const ApiCall& call, const JobId& id)
+    -> leaf::result<const journal::Job*> {
+  BOOST_LEAF_CHECK(this->authorization.CheckView());
+  const TeamId team(call.Header(header::kTeam));
+  const auto* job = this->context.log.State()->Jobs().Find(id);
+  // A caller without the right key must not learn which jobs exist.
+  BOOST_LEAF_CHECK(this->authorization.CheckTeam(
+      call, job == nullptr ? team : job->spec.team));
+  if (job == nullptr) {
+    return Error(kNotFound, "unknown_job", "job",
+                 "there is no such job, or it ended too long ago");
+  }
+  return job;
+}
+
+auto JobService::Cancel(ApiCall call, const JobId& id) -> void {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(job, this->FindJob(call, id));
+        if (daemon::IsFinished(*job)) {
+          auto body = daemon::DescribeJob(*job);
+          body["cancel"] = "already-finished";
+          Reply(this->context, call, 200, body);
+          return {};
+        }
+        auto shared = std::make_shared<ApiCall>(std::move(call));
+        this->context.log.Append(
+            {journal::CancelRequested{id}},
+            shared->received_at + kSubmitTimeout,
+            [this, shared, id](const daemon::RecordedResult& result) {
+              if (result.verdict != Verdict::kRan) {
+                Refuse(this->context, *shared, StatusOf(result.verdict),
+                       LogRefusal(result));
+                return;
+              }
+              const auto* current =
+                  this->context.log.State()->Jobs().Find(id);
+              const bool is_finished =
+                  current != nullptr && daemon::IsFinished(*current);
+              Reply(this->context, *shared, is_finished ? 200 : kAccepted,
+                    {{"job", id.Text()},
+                     {"cancel", is_finished ? "already-finished"
+                                            : "requested"}});
+            });
+        return {};
+      },
+      [&](const ApiError& error) {
+        Refuse(this->context, call, error.status, error.refusal);
+      },
+      [&] { Refuse(this->context, call, 500, {.reason = "internal_error"}); });
+}
+
+auto JobService::Show(ApiCall call, const JobId& id) -> void {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(job, this->FindJob(call, id));
+        if (daemon::IsFinished(*job)) {
+          this->ReplyFromLog(call, id, "none needed");
+          return {};
+        }
+        this->AskOwner(std::make_shared<ApiCall>(std::move(call)), *job);
+        return {};
+      },
+      [&](const ApiError& error) {
+        Refuse(this->context, call, error.status, error.refusal);
+      },
+      [&] { Refuse(this->context, call, 500, {.reason = "internal_error"}); });
+}
+
+auto JobService::AskOwner(const std::shared_ptr<ApiCall>& call,
+                          const journal::Job& job) -> void {
+  const auto id = job.spec.id;
+  const auto* ownership = this->context.log.State()->Claims().Find(
+      journal::ResourceOf(job.spec.shard));
+  if (ownership == nullptr || ownership->addresses.empty()) {
+    this->ReplyFromLog(*call, id, "nobody");
+    return;
+  }
+  this->context.peers.Call<rpc::JobStatusRequest>(
+      ownership->addresses.front(), {{id}}, kOwnerTimeout,
+      [this, call, id](rpc::CallResult<rpc::JobStatusResponse> result) {
+        if (!result.response || result.response->jobs.empty() ||
+            !result.response->jobs.front().owned) {
+          this->context.metrics.Add("job_status_from_log_total", result.reason);
+          this->ReplyFromLog(*call, id, "does not answer");
+          return;
+        }
+        auto body = json::parse(result.response->jobs.front().status_json,
+                                nullptr, false);
+        body["source"] = "owner";
+        Reply(this->context, *call, 200, body);
+      });
+}
+
+auto JobService::ReplyFromLog(ApiCall& call, const JobId& id, const char* owner)
+    -> void {
+  const auto* job = this->context.log.State()->Jobs().Find(id);
+  if (job == nullptr) {
+    Refuse(this->context, call, kNotFound,
+           {Verdict::kNotRun, "unknown_job", "job", "the job has been dropped"});
+    return;
+  }
+  auto body = daemon::DescribeJob(*job);
+  body["source"] = "log";
+  body["owner"] = owner;
+  Reply(this->context, call, 200, body);
+}
+
+auto JobService::List(ApiCall call) -> void {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        const TeamId team(call.Header(header::kTeam));
+        BOOST_LEAF_CHECK(this->authorization.CheckTeam(call, team));
+        auto list = json::array();
+        for (const auto* job :
+             this->context.log.State()->Jobs().OfTeam(team, kListedJobs)) {
+          list.push_back(daemon::DescribeJob(*job));
+        }
+        Reply(this->context, call, 200,
+              {{"jobs", std::move(list)}, {"source", "log"}});
+        return {};
+      },
+      [&](const ApiError& error) {
+        Refuse(this->context, call, error.status, error.refusal);
+      },
+      [&] { Refuse(this->context, call, 500, {.reason = "internal_error"}); });
+}
+
+}  // namespace shallotbank::entry
--- /dev/null
+++ b/apps/sched/sched_daemon.cc
@@ -0,0 +1,287 @@
+#include "sched_daemon.h"
+
+#include <cstdio>
+
+#include "base/log.h"
+#include "base/process.h"
+#include "job_queries.h"
+
+namespace shallotbank::sched {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+constexpr std::chrono::milliseconds kHostListInterval{1000};
+
+auto ShardNumber(const ResourceId& resource, std::int64_t shards)
+    -> std::int64_t {
+  for (std::int64_t number = 0; number < shards; ++number) {
+    if (journal::ResourceOf(configuration::ShardAt(number)) == resource) {
+      return number;
+    }
+  }
+  return -1;
+}
+
+}  // namespace
+
+SchedDaemon::SchedDaemon(daemon::CommonSettings given)
+    : settings(std::move(given)),
+      process(daemon::MakeProcessId(this->settings.host, "sched")),
+      log({.stream_url = this->settings.stream_url, .process = this->process},
+          this->loop,
+          this->client,
+          this->metrics),
+      hosts(this->settings.host_list_url,
+            kHostListInterval,
+            this->loop,
+            this->client,
+            this->metrics),
+      peers({.listen_address = this->settings.rpc.address,
+             .listen_port = this->settings.rpc.port,
+             .seeds = this->settings.peers},
+            this->loop,
+            this->metrics),
+      claimer(this->process,
+              rpc::Role::kSched,
+              this->log,
+              this->peers,
+              {.gained =
+                   [this](const ResourceId& resource, Epoch epoch) {
+                     this->HandleGained(resource, epoch);
+                   },
+               .lost =
+                   [this](const ResourceId& resource) {
+                     this->runners.erase(resource);
+                   }}),
+      server({.address = this->settings.http.address,
+              .port = this->settings.http.port,
+              .threads = 1,
+              .metrics = &this->metrics},
+             [this](const http::Request& request, http::Responder responder) {
+               this->HandleHttp(request, std::move(responder));
+             }) {}
+
+auto SchedDaemon::Run() -> int {
+  if (!this->StartServers()) {
+    return kExitFailure;
+  }
+  this->log.SetListener([this](const journal::AppliedBatch& applied,
+                               const journal::Batch& batch) {
+    const auto now = SystemClock().Now();
+    for (const auto& [resource, runner] : this->runners) {
+      runner->HandleBatch(applied, batch, now);
+    }
+  });
+  this->hosts.SetListener([this] {
+    for (const auto& [resource, runner] : this->runners) {
+      runner->HandleHosts(SystemClock().Now());
+    }
+  });
+  this->log.Start();
+  this->loop.Run(kTickInterval, [this] { this->Tick(); });
+  this->server.Stop();
+  this->peers.Stop();
+  return kExitOk;
+}
+
+auto SchedDaemon::StartServers() -> bool {
+  const auto peers_started = this->peers.Start(this->MakeHandlers());
+  if (!peers_started) {
+    std::fprintf(stderr, "--rpc: the address cannot be used\n");
+    return false;
+  }
+  const auto server_started = this->server.Start();
+  if (!server_started) {
+    std::fprintf(stderr, "--http: the address cannot be used\n");
+    return false;
+  }
+  return true;
+}
+
+auto SchedDaemon::MakeHandlers() -> daemon::PeerHub::Handlers {
+  return {
+      .describe_self = [this] { return this->DescribeSelf(); },
+      .read_records =
+          [this](const rpc::ReadRecordsRequest& request,
+                 rpc::Reply<rpc::ReadRecordsResponse> reply) {
+            rpc::ReadRecordsResponse response;
+            for (auto& record :
+                 this->log.RecentRecords(request.from, request.max)) {
+              response.records.push_back({record.offset, record.data});
+            }
+            response.next = this->log.Head() + 1;
+            reply.Send(std::move(response));
+          },
+      .job_status =
+          [this](const rpc::JobStatusRequest& request,
+                 rpc::Reply<rpc::JobStatusResponse> reply) {
+            reply.Send(this->HandleJobStatus(request));
+          },
+      .list_jobs =
+          [this](const rpc::ListJobsRequest& request,
+                 rpc::Reply<rpc::ListJobsResponse> reply) {
+            reply.Send(this->HandleListJobs(request));
+          },
+      .explain =
+          [this](const rpc::ExplainRequest& request,
+                 rpc::Reply<rpc::ExplainResponse> reply) {
+            reply.Send(this->HandleExplain(request));
+          },
+  };
+}
+
+auto SchedDaemon::DescribeSelf() -> rpc::PeerState {
+  rpc::PeerState state;
+  state.process = this->process;
+  state.host = this->settings.host;
+  state.role = rpc::Role::kSched;
+  state.http_address =
+      this->settings.http.address + ":" + std::to_string(this->server.Port());
+  state.rpc_address = this->peers.Address();
+  state.failure_domain = this->settings.domain;
+  state.log_head = this->log.Head();
+  state.log_age = SystemClock().Now() - this->log.LastGoodRead();
+  state.owned = this->claimer.Owned();
+  state.draining = this->is_stopping;
+  return state;
+}
+
+auto SchedDaemon::Tick() -> void {
+  const auto now = SystemClock().Now();
+  this->hosts.Tick(now);
+  this->peers.Tick(now);
+  this->UpdateResources();
+  this->claimer.Tick(now);
+  for (const auto& [resource, runner] : this->runners) {
+    runner->Tick(now);
+  }
+  this->CheckStop(now);
+}
+
+auto SchedDaemon::UpdateResources() -> void {
+  const auto* state = this->log.State();
+  if (state == nullptr || state->Configuration().Version() == 0 ||
+      this->hosts.Table().IsEmpty()) {
+    return;
+  }
+  std::vector<ResourceId> wanted;
+  const auto shards = state->Configuration().Get().GetPolicy().shards;
+  for (std::int64_t number = 0; number < shards; ++number) {
+    wanted.push_back(journal::ResourceOf(configuration::ShardAt(number)));
+  }
+  this->claimer.SetResources(wanted);
+}
+
+auto SchedDaemon::HandleGained(const ResourceId& resource, Epoch epoch)
+    -> void {
+  const auto shards =
+      this->log.State()->Configuration().Get().GetPolicy().shards;
+  const auto number = ShardNumber(resource, shards);
+  if (number < 0) {
+    return;
+  }
+  auto runner = std::make_shared<ShardRunner>(
+      configuration::ShardAt(number), number, epoch,
+      ShardRunner::Context{this->loop, this->log, this->hosts, this->client,
+                           this->metrics});
+  runner->Load(SystemClock().Now());
+  this->runners[resource] = std::move(runner);
+}
+
+// A planned stop: no new starts, then the shards are released so that others
+// claim them at once, then exit.
+auto SchedDaemon::CheckStop(TimePoint now) -> void {
+  if (!this->is_stopping) {
+    if (!WaitForStopSignal(Duration::zero())) {
+      return;
+    }
+    this->is_stopping = true;
+    this->stop_requested_at = now;
+    LogEvent(Event::kProcessStopping, {{"role", "sched"}});
+    for (const auto& [resource, runner] : this->runners) {
+      runner->Drain();
+    }
+  }
+  const bool is_late =
+      now - this->stop_requested_at > this->settings.drain_timeout ||
+      WaitForStopSignal(Duration::zero());
+  if (!this->is_released && this->claimer.OpenAppends() == 0) {
+    this->is_released = true;
+    this->claimer.ReleaseAll();
+  }
+  if (is_late) {
+    LogEvent(Event::kDrainDeadlinePassed,
+             {{"appends", std::to_string(this->log.OpenAppends())}});
+  }
+  if (is_late || (this->is_released && this->log.OpenAppends() == 0)) {
+    this->loop.Stop();
+  }
+}
+
+auto SchedDaemon::HandleHttp(const http::Request& request,
+                             http::Responder responder) -> void {
+  if (request.path == "/metrics") {
+    responder.Send(
+        {200, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
+    return;
+  }
+  if (request.path == "/healthz") {
+    responder.Send({this->is_stopping ? 503 : 200, {}, "ok\n"});
+    return;
+  }
+  responder.Send({404, {}, "unknown path\n"});
+}
+
+auto SchedDaemon::RunnerOf(const ShardId& shard) const -> const ShardRunner* {
+  const auto found = this->runners.find(journal::ResourceOf(shard));
+  return found == this->runners.end() ? nullptr : found->second.get();
+}
+
+auto SchedDaemon::HandleJobStatus(const rpc::JobStatusRequest& request)
+    -> rpc::JobStatusResponse {
+  rpc::JobStatusResponse response;
+  const auto* state = this->log.State();
+  const auto now = SystemClock().Now();
+  for (const auto& id : request.jobs) {
+    const auto* job = state == nullptr ? nullptr : state->Jobs().Find(id);
+    if (job == nullptr) {
+      continue;
+    }
+    const auto* runner = this->RunnerOf(job->spec.shard);
+    const bool is_owner = runner != nullptr && now < runner->AuthorityUntil();
+    response.jobs.push_back(
+        {id, is_owner,
+         StatusJson(*job, is_owner ? &runner->Scheduler() : nullptr, now)});
+  }
+  return response;
+}
+
+auto SchedDaemon::HandleListJobs(const rpc::ListJobsRequest& request)
+    -> rpc::ListJobsResponse {
+  rpc::ListJobsResponse response;
+  const auto* state = this->log.State();
+  if (state == nullptr) {
+    return response;
+  }
+  const auto now = SystemClock().Now();
+  for (const auto* job : state->Jobs().OfTeam(request.team, request.max)) {
+    const auto* runner = this->RunnerOf(job->spec.shard);
+    response.jobs.push_back(
+        {job->spec.id, runner != nullptr,
+         StatusJson(*job, runner == nullptr ? nullptr : &runner->Scheduler(),
+                    now)});
+  }
+  return response;
+}
+
+auto SchedDaemon::HandleExplain(const rpc::ExplainRequest& request)
+    -> rpc::ExplainResponse {
+  const auto* runner = this->RunnerOf(ShardId(request.id));
+  if (runner == nullptr) {
+    return {"{}"};
+  }
+  return {request.kind == "shares" ? SharesJson(runner->Scheduler())
+                                   : WorkersJson(runner->Scheduler())};
+}
+
+}  // namespace shallotbank::sched
--- /dev/null
+++ b/apps/sched/sched_daemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+#include "base/metrics.h"
+#include "daemon/common_settings.h"
+#include "daemon/core_loop.h"
+#include "daemon/host_poller.h"
+#include "daemon/log_view.h"
+#include "daemon/peer_hub.h"
+#include "daemon/resource_claimer.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "shard_runner.h"
+
+namespace shallotbank::sched {
+
+/// The scheduler daemon of one entry host.
+class SchedDaemon {
+ public:
+  explicit SchedDaemon(daemon::CommonSettings settings);
+
+  /// Runs until a stop signal; returns the exit code.
+  auto Run() -> int;
+
+ private:
+  auto StartServers() -> bool;
+  auto MakeHandlers() -> daemon::PeerHub::Handlers;
+  auto DescribeSelf() -> rpc::PeerState;
+  auto Tick() -> void;
+  auto CheckStop(TimePoint now) -> void;
+  auto UpdateResources() -> void;
+  auto HandleGained(const ResourceId& resource, Epoch epoch) -> void;
+  auto HandleHttp(const http::Request& request, http::Responder responder)
+      -> void;
+  auto RunnerOf(const ShardId& shard) const -> const ShardRunner*;
+  auto HandleJobStatus(const rpc::JobStatusRequest& request)
+      -> rpc::JobStatusResponse;
+  auto HandleListJobs(const rpc::ListJobsRequest& request)
+      -> rpc::ListJobsResponse;
+  auto HandleExplain(const rpc::ExplainRequest& request)
+      -> rpc::ExplainResponse;
+
+  daemon::CommonSettings settings;
+  ProcessId process;
+  Metrics metrics;
+  daemon::CoreLoop loop;
+  http::Client client;
+  daemon::LogView log;
+  daemon::HostPoller hosts;
+  daemon::PeerHub peers;
+  daemon::ResourceClaimer claimer;
+  std::map<ResourceId, std::shared_ptr<ShardRunner>> runners;
+  http::Server server;
+  TimePoint stop_requested_at;
+  std::atomic<bool> is_stopping{false};
+  bool is_released = false;
+};
+
+}  // namespace shallotbank::sched
--- /dev/null
+++ b/apps/sched/shard_runner.cc
@@ -0,0 +1,297 @@
+#include "shard_runner.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "specifications.h"
+
+namespace shallotbank::sched {
+namespace {
+
+using scheduling::WorkerCommand;
+
+// The command's path and body for the worker's HTTP interface.
+struct Encoded {
+  const char* path;
+  std::string body;
+};
+
+auto Encode(const WorkerCommand& command) -> Encoded {
+  struct Visitor {
+    const WorkerCommand& command;
+
+    auto operator()(const scheduling::AttachCommand& /*attach*/) -> Encoded {
+      return {"/attach", worker_protocol::EncodeAttach(this->command.epoch)};
+    }
+    auto operator()(const scheduling::StartCommand& start) -> Encoded {
+      return {"/start",
+              worker_protocol::EncodeStart(
+                  this->command.epoch, this->command.not_after, start.tasks)};
+    }
+    auto operator()(const scheduling::StopCommand& stop) -> Encoded {
+      return {"/stop",
+              worker_protocol::EncodeStop(this->command.epoch, stop.tasks)};
+    }
+    auto operator()(const scheduling::HeartbeatCommand& heartbeat) -> Encoded {
+      return {"/heartbeat", worker_protocol::EncodeHeartbeat(
+                                this->command.epoch, this->command.not_after,
+                                heartbeat.renew, heartbeat.acknowledge)};
+    }
+  };
+  return std::visit(Visitor{command}, command.command);
+}
+
+}  // namespace
+
+ShardRunner::ShardRunner(ShardId shard,
+                         std::int64_t number,
+                         Epoch epoch,
+                         Context context)
+    : shard(std::move(shard)),
+      number(number),
+      context(context),
+      scheduler(epoch,
+                scheduling::SchedulingOptions{.previous_authority = kAuthority},
+                &context.metrics,
+                SystemClock().Now()) {}
+
+auto ShardRunner::Load(TimePoint now) -> void {
+  this->HandleHosts(now);
+  for (const auto* job :
+       this->context.log.State()->Jobs().Unfinished(this->shard)) {
+    this->AddJob(*job, now);
+  }
+}
+
+auto ShardRunner::AddJob(const journal::Job& job, TimePoint now) -> void {
+  if (!this->scheduler.AddJob(ToJobSpec(job, now), EndedTasks(job), now)) {
+    // The entry process checks jobs, so this is a job of another release.
+    this->context.metrics.Add("scheduler_jobs_refused_total", "invalid");
+    this->FinishJob(job.spec.id, journal::WorkOutcome::kFailed,
+                    "the scheduler cannot run this job");
+    return;
+  }
+  if (job.state == journal::JobState::kCancelRequested) {
+    this->scheduler.CancelJob(job.spec.id, now);
+  }
+  this->FinishIfComplete(job.spec.id);
+}
+
+auto ShardRunner::HandleHosts(TimePoint now) -> void {
+  const auto shards =
+      this->context.log.State()->Configuration().Get().GetPolicy().shards;
+  this->scheduler.SetWorkers(
+      WorkersOfShard(this->context.hosts.Table(), this->number, shards), now);
+  this->UpdatePolicy();
+}
+
+auto ShardRunner::UpdatePolicy() -> void {
+  const auto& state = *this->context.log.State();
+  const auto shards = state.Configuration().Get().GetPolicy().shards;
+  const auto workers =
+      WorkersOfShard(this->context.hosts.Table(), this->number, shards);
+  if (!this->scheduler.SetPolicy(ToQueuePolicy(state, this->shard, workers))) {
+    this->context.metrics.Add("scheduler_policy_refused_total");
+  }
+}
+
+auto ShardRunner::HandleBatch(const journal::AppliedBatch& applied,
+                              const journal::Batch& batch,
+                              TimePoint now) -> void {
+  for (std::size_t i = 0;
+       i < batch.records.size() && i < applied.outcomes.size(); ++i) {
+    if (applied.outcomes[i].valid) {
+      this->ApplyRecord(batch.records[i], now);
+    }
+  }
+}
+
+auto ShardRunner::ApplyRecord(const journal::Record& record, TimePoint now)
+    -> void {
+  const auto& jobs = this->context.log.State()->Jobs();
+  if (const auto* accepted = std::get_if<journal::JobAccepted>(&record)) {
+    const auto* job = jobs.Find(accepted->job.id);
+    if (job != nullptr && job->spec.shard == this->shard) {
+      this->AddJob(*job, now);
+    }
+  } else if (const auto* cancel =
+                 std::get_if<journal::CancelRequested>(&record)) {
+    this->scheduler.CancelJob(cancel->job, now);
+  } else if (const auto* task = std::get_if<journal::TaskFinished>(&record)) {
+    this->scheduler.TaskRecorded(task->job, static_cast<int>(task->task));
+    this->FinishIfComplete(task->job);
+  } else if (const auto* job = std::get_if<journal::JobFinished>(&record)) {
+    this->finishing.erase(job->job);
+    this->scheduler.ForgetJob(job->job);
+    LogEvent(Event::kJobFinished, {{"job", job->job.Text()}});
+  } else if (std::holds_alternative<journal::ConfigurationChanged>(record) ||
+             std::holds_alternative<journal::AllotmentMoved>(record)) {
+    this->UpdatePolicy();
+  }
+}
+
+auto ShardRunner::AuthorityUntil() const -> TimePoint {
+  // The log showed this epoch in force.
+  auto confirmed_at = this->context.log.LastGoodRead();
+  // A majority of the workers answered at this epoch.
+  std::vector<TimePoint> times;
+  for (const auto& [worker, sent_at] : this->confirmed) {
+    times.push_back(sent_at);
+  }
+  const auto majority = this->scheduler.WorkerCount() / 2 + 1;
+  if (times.size() >= majority) {
+    std::nth_element(times.begin(),
+                     times.begin() + static_cast<std::ptrdiff_t>(majority) - 1,
+                     times.end(), std::greater<>());
+    confirmed_at = std::max(confirmed_at, times[majority - 1]);
+  }
+  return confirmed_at + kAuthority;
+}
+
+auto ShardRunner::Tick(TimePoint now) -> void {
+  const bool may_act = !this->fenced && !this->draining;
+  this->scheduler.SetAuthority(may_act ? this->AuthorityUntil() : TimePoint());
+  const auto output = this->scheduler.Tick(now);
+  for (const auto& command : output.commands) {
+    this->Send(command);
+  }
+  for (const auto& outcome : output.outcomes) {
+    this->Record(outcome);
+  }
+  for (const auto& job : output.cancelled) {
+    this->FinishJob(job, journal::WorkOutcome::kCancelled, "cancelled");
+  }
+  for (const auto& job : output.expired) {
+    this->FinishJob(job, journal::WorkOutcome::kFailed,
+                    "not started within its patience");
+  }
+}
+
+auto ShardRunner::Send(const WorkerCommand& command) -> void {
+  const auto& hosts = this->context.hosts.Table().Hosts();
+  const auto host = hosts.find(command.worker.Text());
+  const auto sent_at = SystemClock().Now();
+  if (host == hosts.end()) {
+    this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, sent_at);
+    return;
+  }
+  auto encoded = Encode(command);
+  http::Call call{.method = "POST",
+                  .url = host->second.url + encoded.path,
+                  .body = std::move(encoded.body),
+                  .timeout = command.timeout};
+  this->context.client.Send(
+      std::move(call),
+      [weak = this->weak_from_this(), &loop = this->context.loop, command,
+       sent_at](http::Reply reply) {
+        auto shared = std::make_shared<http::Reply>(std::move(reply));
+        loop.PostAndWait([weak, command, sent_at, shared] {
+          if (const auto runner = weak.lock()) {
+            runner->HandleReply(command, sent_at, *shared);
+          }
+        });
+      });
+}
+
+auto ShardRunner::HandleReply(const WorkerCommand& command,
+                              TimePoint sent_at,
+                              const http::Reply& reply) -> void {
+  constexpr int kConflict = 409;
+  constexpr int kPreconditionFailed = 412;
+  const auto now = SystemClock().Now();
+  if (reply.status == kConflict) {
+    if (!this->fenced) {
+      this->fenced = true;
+      LogEvent(Event::kOwnershipLost, {{"shard", this->shard.Text()},
+                                       {"cause", "newer epoch at a worker"},
+                                       {"worker", command.worker.Text()}});
+    }
+    this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, now);
+    return;
+  }
+  if (reply.status == kPreconditionFailed) {
+    this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, now);
+    return;
+  }
+  if (!reply.IsSuccess() || !this->Decode(command, sent_at, reply, now)) {
+    const auto verdict = reply.verdict == Verdict::kNotRun
+                             ? Verdict::kNotRun
+                             : Verdict::kMayHaveRun;
+    this->scheduler.HandleFailure(command.worker, verdict, now);
+    return;
+  }
+  auto& last = this->confirmed[command.worker];
+  last = std::max(last, sent_at);
+}
+
+auto ShardRunner::Decode(const WorkerCommand& command,
+                         TimePoint sent_at,
+                         const http::Reply& reply,
+                         TimePoint now) -> bool {
+  if (std::holds_alternative<scheduling::StartCommand>(command.command)) {
+    const auto results = worker_protocol::DecodeStartResults(reply.body);
+    if (results) {
+      this->scheduler.HandleStartResults(command.worker, results.value(), now);
+    }
+    return static_cast<bool>(results);
+  }
+  const auto report = worker_protocol::DecodeReport(reply.body);
+  if (report) {
+    this->scheduler.HandleReport(command.worker, sent_at, report.value(), now);
+  }
+  return static_cast<bool>(report);
+}
+
+auto ShardRunner::Record(const scheduling::TaskOutcome& outcome) -> void {
+  this->context.log.Append(
+      {journal::TaskFinished{.job = outcome.job,
+                             .task = outcome.index,
+                             .outcome = outcome.succeeded
+                                            ? journal::WorkOutcome::kSucceeded
+                                            : journal::WorkOutcome::kFailed,
+                             .message = outcome.message}},
+      TimePoint::max(),
+      [weak = this->weak_from_this(),
+       outcome](const daemon::RecordedResult& result) {
+        const auto runner = weak.lock();
+        // The worker keeps the result, so nothing is lost by another try.
+        if (runner && result.verdict == Verdict::kNotRun) {
+          runner->Record(outcome);
+        }
+      });
+}
+
+auto ShardRunner::FinishIfComplete(const JobId& id) -> void {
+  const auto* job = this->context.log.State()->Jobs().Find(id);
+  if (job == nullptr || job->state == journal::JobState::kFinished) {
+    return;
+  }
+  const auto ended = job->succeeded + job->failed + job->cancelled;
+  if (ended < job->spec.tasks) {
+    return;
+  }
+  this->FinishJob(id,
+                  job->failed > 0 ? journal::WorkOutcome::kFailed
+                                  : journal::WorkOutcome::kSucceeded,
+                  job->failed > 0 ? "tasks failed" : "");
+}
+
+auto ShardRunner::FinishJob(const JobId& id,
+                            journal::WorkOutcome outcome,
+                            const std::string& reason) -> void {
+  if (!this->finishing.insert(id).second) {
+    return;
+  }
+  this->context.log.Append({journal::JobFinished{id, outcome, reason}},
+                           TimePoint::max(),
+                           [weak = this->weak_from_this(), id, outcome,
+                            reason](const daemon::RecordedResult& result) {
+                             const auto runner = weak.lock();
+                             if (runner && result.verdict == Verdict::kNotRun) {
+                               runner->finishing.erase(id);
+                               runner->FinishJob(id, outcome, reason);
+                             }
+                           });
+}
+
+}  // namespace shallotbank::sched
--- /dev/null
+++ b/apps/sched/shard_runner.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/metrics.h"
+#include "daemon/core_loop.h"
+#include "daemon/host_poller.h"
+#include "daemon/log_view.h"
+#include "http/client.h"
+#include "scheduling/shard_scheduler.h"
+
+namespace shallotbank::sched {
+
+/// Runs one shard that this process owns: feeds the scheduler with what the log
+/// and the workers say, and carries out what it decides. Lives from the claim
+/// to the loss of the shard, on the core loop's thread.
+class ShardRunner : public std::enable_shared_from_this<ShardRunner> {
+ public:
+  struct Context {
+    daemon::CoreLoop& loop;
+    daemon::LogView& log;
+    daemon::HostPoller& hosts;
+    http::Client& client;
+    Metrics& metrics;
+  };
+
+  ShardRunner(ShardId shard, std::int64_t number, Epoch epoch, Context context);
+
+  /// Takes the unfinished jobs of the log. Call once, before anything else.
+  auto Load(TimePoint now) -> void;
+  /// After each batch of the log.
+  auto HandleBatch(const journal::AppliedBatch& applied,
+                   const journal::Batch& batch,
+                   TimePoint now) -> void;
+  auto HandleHosts(TimePoint now) -> void;
+  auto Tick(TimePoint now) -> void;
+
+  auto CurrentEpoch() const -> Epoch { return this->scheduler.CurrentEpoch(); }
+  auto Scheduler() const -> const scheduling::ShardScheduler& {
+    return this->scheduler;
+  }
+  /// Until when this process may act as owner.
+  auto AuthorityUntil() const -> TimePoint;
+  /// A worker has seen a newer epoch.
+  auto IsFenced() const -> bool { return this->fenced; }
+  /// Stops starting work, before the shard is released.
+  auto Drain() -> void { this->draining = true; }
+
+ private:
+  auto AddJob(const journal::Job& job, TimePoint now) -> void;
+  auto UpdatePolicy() -> void;
+  auto Send(const scheduling::WorkerCommand& command) -> void;
+  auto HandleReply(const scheduling::WorkerCommand& command,
+                   TimePoint sent_at,
+                   const http::Reply& reply) -> void;
+  auto Decode(const scheduling::WorkerCommand& command,
+              TimePoint sent_at,
+              const http::Reply& reply,
+              TimePoint now) -> bool;
+  auto Record(const scheduling::TaskOutcome& outcome) -> void;
+  auto FinishJob(const JobId& job,
+                 journal::WorkOutcome outcome,
+                 const std::string& reason) -> void;
+  auto FinishIfComplete(const JobId& job) -> void;
+  auto ApplyRecord(const journal::Record& record, TimePoint now) -> void;
+
+  ShardId shard;
+  std::int64_t number;
+  Context context;
+  scheduling::ShardScheduler scheduler;
+  std::map<WorkerId, TimePoint> confirmed;  // Send time of the last answer.
+  std::set<JobId> finishing;
+  bool fenced = false;
+  bool draining = false;
+};
+
+/// How long an owner may act after its ownership was confirmed.
+inline constexpr std::chrono::seconds kAuthority{3};
+
+}  // namespace shallotbank::sched
--- /dev/null
+++ b/libs/daemon/src/host_poller.cc
@@ -0,0 +1,53 @@
+#include "daemon/host_poller.h"
+
+#include "base/log.h"
+
+namespace shallotbank::daemon {
+
+HostPoller::HostPoller(std::string url,
+                       Duration interval,
+                       CoreLoop& loop,
+                       http::Client& client,
+                       Metrics& metrics)
+    : url(std::move(url)),
+      interval(interval),
+      loop(loop),
+      client(client),
+      metrics(metrics) {}
+
+auto HostPoller::Tick(TimePoint now) -> void {
+  if (this->is_open || now < this->next_read) {
+    return;
+  }
+  this->is_open = true;
+  this->next_read = now + this->interval;
+  this->client.Send(
+      {.method = "GET", .url = this->url}, [this](http::Reply reply) {
+        auto shared = std::make_shared<http::Reply>(std::move(reply));
+        this->loop.PostAndWait([this, shared] { this->Handle(*shared); });
+      });
+}
+
+auto HostPoller::Handle(const http::Reply& reply) -> void {
+  this->is_open = false;
+  auto hosts = reply.status == 200
+                   ? platform::ParseHostList(reply.body)
+                   : boost::leaf::new_error(platform::HostListError{
+                         "", "the host list gave no answer"});
+  const bool is_readable = static_cast<bool>(hosts);
+  if (is_readable != this->reachable) {
+    this->reachable = is_readable;
+    LogEvent(
+        is_readable ? Event::kHostListReachable : Event::kHostListUnreachable,
+        {{"url", this->url}});
+  }
+  if (!is_readable) {
+    this->metrics.Add("host_list_failures_total");
+    return;
+  }
+  if (this->table.Update(std::move(hosts.value())) && this->changed) {
+    this->changed();
+  }
+}
+
+}  // namespace shallotbank::daemon
--- a/libs/scheduling/src/core.h
+++ b/libs/scheduling/src/core.h
@@ -128,6 +128,7 @@
   SchedulingOptions options;
   Metrics* metrics;
   TimePoint began_at;
+  TimePoint settled_at;
   placement::WorkerIndex index;
   placement::Placer placer;
   placement::Quarantine quarantine;
--- a/libs/scheduling/src/recovery.cc
+++ b/libs/scheduling/src/recovery.cc
@@ -23,9 +23,11 @@
 }
 
 // Until when a task of the job that no worker has named may be running on a
-// worker that has not answered in this epoch.
+// worker that has not answered in this epoch. The previous owner may have had
+// its authority confirmed until a majority had taken this epoch.
 auto ShardScheduler::Core::HoldUntil(const JobRecord& job) const -> TimePoint {
-  const auto last_command = this->began_at + this->options.previous_authority +
+  const auto last_command = this->settled_at +
+                            this->options.previous_authority +
                             this->options.command_timeout;
   if (job.spec.is_single_run) {
     return last_command + job.spec.lease;
