Add the routing library: a first MinionRouter

One process owns a minion whole, so the router knows the exact number of requests at each of its minions. It keeps the minions that have a free slot in one list for each service and failure domain and takes the better of two at random (load times latency). A scan for the least loaded was ruled out: every candidate has a free slot, so the choice does not decide whether a request waits, and the cost of a scan grows with the number of minions.

An attempt whose outcome is unknown keeps its slot until the minion's own end is reported or the longest deadline has passed. Retries go to another minion, only after "not run" or for idempotent requests, within a budget of 10%.

--- /dev/null
+++ b/libs/routing/src/router_core.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/metrics.h"
+#include "minion_table.h"
+#include "peer_rooms.h"
+#include "request_record.h"
+#include "routing/action.h"
+#include "service_state.h"
+
+namespace shallotbank::routing {
+
+/// The implementation of `MinionRouter`.
+class RouterCore {
+ public:
+  RouterCore(const RouterPolicy& policy, Metrics* metrics)
+      : policy(policy),
+        metrics(metrics),
+        table(this->policy),
+        peers(this->policy) {}
+  // The parts refer to the policy.
+  RouterCore(const RouterCore&) = delete;
+  auto operator=(const RouterCore&) -> RouterCore& = delete;
+
+  auto UpdateMinions(const std::vector<Minion>& minions, TimePoint now)
+      -> Actions;
+  auto SetGroup(const MinionGroup& group, TimePoint now) -> Actions;
+  auto RemoveGroup(const ResourceId& group, TimePoint now) -> Actions;
+  auto UpdatePeer(const PeerRoom& room, TimePoint now) -> Actions;
+  auto RemovePeer(const ProcessId& peer) -> void;
+  auto Submit(const Request& request, TimePoint now) -> Actions;
+  auto Complete(AttemptId attempt, const Outcome& outcome, TimePoint now)
+      -> Actions;
+  auto Abandon(const RequestId& request) -> bool;
+  auto Expire(TimePoint now) -> Actions;
+  auto FreeRoom(TimePoint now) -> std::vector<ServiceRoom>;
+  auto QueueSize(const ServiceName& service) const -> std::size_t;
+  auto InUse(const MinionId& minion) const -> int;
+  auto InProgress() const -> std::size_t;
+
+ private:
+  auto Service(const RequestRecord& request) -> ServiceState& {
+    return *this->services[request.service];
+  }
+  auto TakeActions() -> Actions { return std::exchange(this->actions, {}); }
+  auto AddActions(Actions&& more) -> void;
+  auto Count(const std::string& name, std::string_view reason) -> void;
+
+  // Ways of a request; in router_routes.cc.
+  auto Route(RequestRecord& request, TimePoint now) -> void;
+  auto Send(RequestRecord& request,
+            MinionIndex minion,
+            bool probe,
+            TimePoint now) -> void;
+  auto TrySendToPeer(RequestRecord& request, bool queue, TimePoint now) -> bool;
+  auto Enqueue(RequestRecord& request) -> void;
+  auto WouldMiss(const RequestRecord& request, Duration wait, TimePoint now)
+      -> bool;
+  auto QueueWait(const RequestRecord& request, TimePoint now) -> Duration;
+  auto Drain(ServiceIndex service, TimePoint now) -> void;
+  auto DrainToPeers(ServiceIndex service, TimePoint now) -> void;
+  auto RefuseStranded(ServiceIndex service, TimePoint now) -> void;
+  auto UnusableReason(ServiceIndex service) const -> RefusalReason;
+
+  // Ends of attempts; in router_ends.cc.
+  auto EndAttempt(AttemptRecord& attempt, const Outcome& outcome, TimePoint now)
+      -> void;
+  auto Hold(AttemptRecord& attempt) -> void;
+  auto ReleaseSlot(AttemptId id) -> void;
+  auto ObserveHealth(AttemptRecord& attempt,
+                     const Outcome& outcome,
+                     TimePoint now) -> void;
+  auto Decide(RequestRecord& request,
+              AttemptId attempt,
+              const Outcome& outcome,
+              TimePoint now) -> void;
+  auto TryRetry(RequestRecord& request, const Outcome& outcome, TimePoint now)
+      -> bool;
+  auto WhyNoRetry(const RequestRecord& request,
+                  const Outcome& outcome,
+                  TimePoint now) -> std::optional<NoRetryReason>;
+  auto ExpireRequest(RequestRecord& request, TimePoint now) -> void;
+
+  // Ends of requests.
+  auto GiveAnswer(RequestRecord& request, AttemptId attempt) -> void;
+  auto Reject(const RequestId& request, RefusalReason reason, Verdict verdict)
+      -> void;
+  auto RejectAndErase(RequestRecord& request, RefusalReason reason) -> void;
+  auto Erase(RequestRecord& request) -> void;
+
+  auto SyncServices() -> void;
+  auto Settle(TimePoint now) -> Actions;
+
+  RouterPolicy policy;
+  Metrics* metrics;
+  MinionTable table;
+  PeerRooms peers;
+  std::vector<std::unique_ptr<ServiceState>> services;
+  std::unordered_map<RequestId, RequestRecord> requests;
+  std::unordered_map<AttemptId, AttemptRecord> attempts;
+  std::set<std::tuple<TimePoint, std::uint64_t, RequestRecord*>> deadlines;
+  std::set<std::pair<TimePoint, AttemptId>> holds;
+  std::size_t abandoned = 0;
+  std::uint64_t next_sequence = 1;
+  AttemptId next_attempt = 1;
+  Actions actions;
+};
+
+}  // namespace shallotbank::routing
--- /dev/null
+++ b/libs/routing/src/service_state.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "admission_estimate.h"
+#include "deadline_queue.h"
+#include "outlier_detector.h"
+#include "retry_budget.h"
+
+namespace shallotbank::routing {
+
+/// What the router keeps for one service besides its minions.
+struct ServiceState {
+  ServiceState(const RouterPolicy& policy, ServiceIndex index)
+      : budget(policy), detector(policy, index) {}
+
+  DeadlineQueue queue;
+  AdmissionEstimate estimate;
+  RetryBudget budget;
+  OutlierDetector detector;
+};
+
+}  // namespace shallotbank::routing
