Add the entry daemon

Cause: callers and operators need an HTTP interface. Ruled out: answering from the HTTP threads; one core thread owns the state and the edge only posts to its ring. Before: no interface.

--- a/apps/entry/authorization.cc
+++ b/apps/entry/authorization.cc
@@ -32,8 +32,7 @@
 
 auto Authorization::CheckProfile(const ApiCall& call) -> leaf::result<Caller> {
   BOOST_LEAF_CHECK(this->CheckView());
-  const auto& configuration =
-      this->context.log.State()->Configuration().Get();
+  const auto& configuration = this->context.log.State()->Configuration().Get();
   const auto name = call.Header(header::kProfile);
   if (name.empty()) {
     return Error(400, "missing_header", header::kProfile,
@@ -50,7 +49,8 @@
   const bool is_request =
       caller.profile->job_class == configuration::JobClass::kRequest;
   const bool is_open = queue != nullptr && queue->open;
-  if (is_open && (is_request || configuration.FindTeam(caller.team) != nullptr)) {
+  if (is_open &&
+      (is_request || configuration.FindTeam(caller.team) != nullptr)) {
     return caller;
   }
   BOOST_LEAF_CHECK(this->CheckTeam(call, caller.team));
@@ -68,8 +68,7 @@
     return Error(kUnauthorized, "missing_header", header::kKey,
                  "the request must carry a key of its team");
   }
-  const auto& configuration =
-      this->context.log.State()->Configuration().Get();
+  const auto& configuration = this->context.log.State()->Configuration().Get();
   const bool is_own_team = call.Header(header::kTeam) == team.Text();
   if (!is_own_team ||
       !configuration.Authenticate(team, call.Header(header::kKey))) {
@@ -80,8 +79,7 @@
 }
 
 auto Authorization::CheckOperator(const ApiCall& call) -> leaf::result<void> {
-  const auto hash =
-      configuration::Sha256Hex(call.Header(header::kOperatorKey));
+  const auto hash = configuration::Sha256Hex(call.Header(header::kOperatorKey));
   if (!EqualInConstantTime(hash, this->context.operator_key_sha256)) {
     return Error(kUnauthorized, "invalid_operator_key", header::kOperatorKey,
                  "the operator key is missing or not valid");
--- /dev/null
+++ b/apps/entry/entry_daemon.cc
@@ -0,0 +1,275 @@
+#include "entry_daemon.h"
+
+#include <cstdio>
+
+#include "base/log.h"
+#include "base/process.h"
+
+namespace shallotbank::entry {
+namespace {
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+constexpr std::chrono::milliseconds kHostListInterval{1000};
+// After the stop signal the health check fails for this long before new
+// requests are refused, so that the balancer has turned elsewhere.
+constexpr std::chrono::milliseconds kBalancerDelay{300};
+constexpr std::chrono::seconds kConnectionDrain{5};
+constexpr int kMethodNotAllowed = 405;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::string_view kJobPrefix = "/v1/jobs/";
+constexpr std::string_view kExplainPrefix = "/v1/explain/";
+
+}  // namespace
+
+EntryDaemon::EntryDaemon(daemon::CommonSettings given,
+                         std::string operator_key_sha256,
+                         std::int64_t max_request_bytes)
+    : settings(std::move(given)),
+      process(daemon::MakeProcessId(this->settings.host, "entry")),
+      log({.stream_url = this->settings.stream_url, .process = this->process},
+          this->loop,
+          this->client,
+          this->metrics),
+      hosts(this->settings.host_list_url,
+            kHostListInterval,
+            this->loop,
+            this->client,
+            this->metrics),
+      peers({.listen_address = this->settings.rpc.address,
+             .listen_port = this->settings.rpc.port,
+             .seeds = this->settings.peers},
+            this->loop,
+            this->metrics),
+      context{this->settings, this->process, std::move(operator_key_sha256),
+              this->loop,     this->log,     this->hosts,
+              this->peers,    this->client,  this->metrics},
+      authorization(this->context),
+      groups(this->context, this->authorization),
+      requests(this->context, this->authorization, this->groups),
+      jobs(this->context, this->authorization),
+      configuration(this->context, this->authorization),
+      status(this->context, this->authorization),
+      claimer(this->process,
+              rpc::Role::kEntry,
+              this->log,
+              this->peers,
+              {.gained =
+                   [this](const ResourceId& group,
+                          Epoch /*epoch*/,
+                          bool is_takeover) {
+                     this->groups.Gained(group, is_takeover,
+                                         SystemClock().Now());
+                   },
+               .lost =
+                   [this](const ResourceId& group) {
+                     this->groups.Lost(group);
+                     this->requests.GroupLost(group);
+                   }}),
+      server({.address = this->settings.http.address,
+              .port = this->settings.http.port,
+              .threads = 4,
+              .max_request_bytes = static_cast<std::size_t>(max_request_bytes),
+              .metrics = &this->metrics},
+             [this](http::Request request, http::Responder responder) {
+               this->HandleHttp(std::move(request), std::move(responder));
+             }) {}
+
+auto EntryDaemon::Run() -> int {
+  if (!this->StartServers()) {
+    return kExitFailure;
+  }
+  this->hosts.SetListener(
+      [this] { this->requests.HandleHosts(SystemClock().Now()); });
+  this->claimer.SetResources(MinionGroups::All());
+  this->log.Start();
+  this->loop.Run(kTickInterval, [this] { this->Tick(); });
+  this->server.Drain(kConnectionDrain);
+  this->server.Stop();
+  this->peers.Stop();
+  return kExitOk;
+}
+
+auto EntryDaemon::StartServers() -> bool {
+  const auto peers_started = this->peers.Start(this->MakeHandlers());
+  if (!peers_started) {
+    std::fprintf(stderr, "--rpc: the address cannot be used\n");
+    return false;
+  }
+  const auto server_started = this->server.Start();
+  if (!server_started) {
+    std::fprintf(stderr, "--http: the address cannot be used\n");
+    return false;
+  }
+  return true;
+}
+
+auto EntryDaemon::MakeHandlers() -> daemon::PeerHub::Handlers {
+  return {
+      .describe_self = [this] { return this->DescribeSelf(); },
+      .read_records =
+          [this](const rpc::ReadRecordsRequest& request,
+                 rpc::Reply<rpc::ReadRecordsResponse> reply) {
+            rpc::ReadRecordsResponse response;
+            for (auto& record :
+                 this->log.RecentRecords(request.from, request.max)) {
+              response.records.push_back({record.offset, record.data});
+            }
+            response.next = this->log.Head() + 1;
+            reply.Send(std::move(response));
+          },
+      .forward =
+          [this](rpc::ForwardRequest request,
+                 rpc::Reply<rpc::ForwardResponse> reply) {
+            this->requests.HandleForwarded(std::move(request),
+                                           std::move(reply));
+          },
+      .heard =
+          [this](const daemon::PeerInfo& peer) {
+            this->requests.HandlePeer(peer);
+          },
+  };
+}
+
+auto EntryDaemon::DescribeSelf() -> rpc::PeerState {
+  rpc::PeerState state;
+  state.process = this->process;
+  state.host = this->settings.host;
+  state.role = rpc::Role::kEntry;
+  state.http_address =
+      this->settings.http.address + ":" + std::to_string(this->server.Port());
+  state.rpc_address = this->peers.Address();
+  state.failure_domain = this->settings.domain;
+  state.log_head = this->log.Head();
+  state.log_age = SystemClock().Now() - this->log.LastGoodRead();
+  state.owned = this->claimer.Owned();
+  state.draining = this->is_stopping;
+  state.free_slots = this->requests.FreeSlots();
+  return state;
+}
+
+// Runs on the server's threads.
+auto EntryDaemon::HandleHttp(http::Request request, http::Responder responder)
+    -> void {
+  if (request.path == "/metrics") {
+    responder.Send(
+        {200, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
+    return;
+  }
+  if (request.path == "/healthz") {
+    const bool is_healthy = this->is_ready && !this->is_stopping;
+    responder.Send({is_healthy ? 200 : kUnavailable,
+                    {},
+                    is_healthy ? "ok\n" : "not ready\n"});
+    return;
+  }
+  struct Posted {
+    ApiCall call;
+  };
+  const auto* given = request.FindHeader(header::kRequestId);
+  std::string id = given != nullptr ? *given
+                                    : this->process.Text() + "-c" +
+                                          std::to_string(this->next_call++);
+  auto posted =
+      std::make_shared<Posted>(Posted{{std::move(request), std::move(responder),
+                                       SystemClock().Now(), std::move(id)}});
+  if (!this->loop.Post(
+          [this, posted] { this->Route(std::move(posted->call)); })) {
+    this->metrics.Add("refusals_total", "core_ring_full");
+    posted->call.responder.Send(
+        {kUnavailable,
+         {{"Content-Type", "application/json"}},
+         R"({"error":{"reason":"core_ring_full","field":"","message":)"
+         R"("this host is overloaded","execution":"not-run"}})"});
+  }
+}
+
+auto EntryDaemon::Route(ApiCall call) -> void {
+  const auto path = call.request.path;
+  const auto method = call.request.method;
+  const bool is_late = this->is_stopping && this->is_released;
+  if (is_late) {
+    Refuse(this->context, call, kUnavailable,
+           {Verdict::kNotRun, "stopping", "", "this host is stopping"});
+  } else if (path == "/v1/requests" && method == "POST") {
+    this->requests.Handle(std::move(call));
+  } else if (path == "/v1/jobs" && method == "POST") {
+    this->jobs.Submit(std::move(call));
+  } else if (path == "/v1/jobs" && method == "GET") {
+    this->jobs.List(std::move(call));
+  } else if (path.starts_with(kJobPrefix)) {
+    this->RouteJob(std::move(call), path.substr(kJobPrefix.size()));
+  } else if (path == "/v1/configuration" && method == "GET") {
+    this->configuration.Show(std::move(call));
+  } else if (path == "/v1/configuration" && method == "PATCH") {
+    this->configuration.Publish(std::move(call));
+  } else if (path == "/v1/hosts" && method == "GET") {
+    this->status.ShowHosts(std::move(call), this->DescribeSelf());
+  } else if (path.starts_with(kExplainPrefix) && method == "GET") {
+    this->status.Explain(std::move(call), path.substr(kExplainPrefix.size()));
+  } else {
+    Refuse(this->context, call, kNotFound,
+           {Verdict::kNotRun, "unknown_path", "path",
+            "there is no " + method + " " + path});
+  }
+}
+
+auto EntryDaemon::RouteJob(ApiCall call, const std::string& id) -> void {
+  if (call.request.method == "GET") {
+    this->jobs.Show(std::move(call), JobId(id));
+  } else if (call.request.method == "DELETE") {
+    this->jobs.Cancel(std::move(call), JobId(id));
+  } else {
+    Refuse(this->context, call, kMethodNotAllowed,
+           {Verdict::kNotRun, "method_not_allowed", "method",
+            "a job takes GET and DELETE"});
+  }
+}
+
+auto EntryDaemon::IsReady() -> bool {
+  return this->log.State() != nullptr && this->authorization.Judge().is_fresh;
+}
+
+auto EntryDaemon::Tick() -> void {
+  const auto now = SystemClock().Now();
+  this->is_ready = this->IsReady();
+  this->hosts.Tick(now);
+  this->peers.Tick(now);
+  this->claimer.Tick(now);
+  this->requests.Tick(now);
+  this->CheckStop(now);
+}
+
+// A planned stop: the health check fails, then new requests are refused,
+// requests in progress end, the minion groups are released, then exit.
+auto EntryDaemon::CheckStop(TimePoint now) -> void {
+  if (!this->is_stopping) {
+    if (!WaitForStopSignal(Duration::zero())) {
+      return;
+    }
+    this->is_stopping = true;
+    this->stop_requested_at = now;
+    LogEvent(Event::kProcessStopping,
+             {{"open", std::to_string(this->server.OpenRequests())}});
+  }
+  const auto since = now - this->stop_requested_at;
+  const bool is_late = since > this->settings.drain_timeout ||
+                       WaitForStopSignal(Duration::zero());
+  const bool is_idle = since > kBalancerDelay && this->requests.Open() == 0 &&
+                       this->server.OpenRequests() == 0;
+  if (!this->is_released && (is_idle || is_late)) {
+    this->is_released = true;
+    this->claimer.ReleaseAll();
+  }
+  if (is_late) {
+    LogEvent(Event::kDrainDeadlinePassed,
+             {{"open", std::to_string(this->server.OpenRequests())},
+              {"appends", std::to_string(this->log.OpenAppends())}});
+  }
+  if (is_late || (this->is_released && this->log.OpenAppends() == 0 &&
+                  this->server.OpenRequests() == 0)) {
+    this->loop.Stop();
+  }
+}
+
+}  // namespace shallotbank::entry
--- a/apps/entry/job_service.cc
+++ b/apps/entry/job_service.cc
@@ -230,14 +230,13 @@
                        LogRefusal(result));
                 return;
               }
-              const auto* current =
-                  this->context.log.State()->Jobs().Find(id);
+              const auto* current = this->context.log.State()->Jobs().Find(id);
               const bool is_finished =
                   current != nullptr && daemon::IsFinished(*current);
-              Reply(this->context, *shared, is_finished ? 200 : kAccepted,
-                    {{"job", id.Text()},
-                     {"cancel", is_finished ? "already-finished"
-                                            : "requested"}});
+              Reply(
+                  this->context, *shared, is_finished ? 200 : kAccepted,
+                  {{"job", id.Text()},
+                   {"cancel", is_finished ? "already-finished" : "requested"}});
             });
         return {};
       },
@@ -293,8 +292,9 @@
     -> void {
   const auto* job = this->context.log.State()->Jobs().Find(id);
   if (job == nullptr) {
-    Refuse(this->context, call, kNotFound,
-           {Verdict::kNotRun, "unknown_job", "job", "the job has been dropped"});
+    Refuse(
+        this->context, call, kNotFound,
+        {Verdict::kNotRun, "unknown_job", "job", "the job has been dropped"});
     return;
   }
   auto body = daemon::DescribeJob(*job);
--- a/apps/entry/job_service.h
+++ b/apps/entry/job_service.h
@@ -22,8 +22,7 @@
  private:
   auto MakeSpec(const ApiCall& call, const Caller& caller)
       -> boost::leaf::result<journal::JobSpec>;
-  auto CheckFeasible(const journal::JobSpec& spec)
-      -> boost::leaf::result<void>;
+  auto CheckFeasible(const journal::JobSpec& spec) -> boost::leaf::result<void>;
   auto AppendJob(const std::shared_ptr<ApiCall>& call, journal::JobSpec spec)
       -> void;
   auto FindJob(const ApiCall& call, const JobId& id)
--- /dev/null
+++ b/apps/entry/main.cc
@@ -0,0 +1,49 @@
+#include <cctype>
+#include <cstdio>
+
+#include "base/process.h"
+#include "entry_daemon.h"
+
+namespace {
+
+namespace leaf = boost::leaf;
+using namespace shallotbank;
+
+constexpr std::size_t kSha256HexDigits = 64;
+constexpr std::int64_t kDefaultRequestBytes = 1 << 20;
+constexpr std::int64_t kHighestRequestBytes = 64 << 20;
+
+auto RunDaemon(const Settings& settings) -> int {
+  return leaf::try_handle_all(
+      [&settings]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(common, daemon::ReadCommonSettings(settings));
+        const auto& hash = settings.Text("operator-key-sha256");
+        if (hash.size() != kSha256HexDigits) {
+          return leaf::new_error(
+              SettingsError{"--operator-key-sha256",
+                            "must be a SHA-256 in 64 lower-case hex digits"});
+        }
+        entry::EntryDaemon entry(std::move(common), hash,
+                                 settings.Integer("max-request-bytes"));
+        return entry.Run();
+      },
+      [](const SettingsError& error) {
+        std::fprintf(stderr, "%s: %s\n", error.setting.c_str(),
+                     error.message.c_str());
+        return static_cast<int>(kExitUsage);
+      },
+      [] { return static_cast<int>(kExitFailure); });
+}
+
+}  // namespace
+
+auto main(int argc, char** argv) -> int {
+  SettingsBuilder builder("shallotbank-entry",
+                          "The HTTP interface for callers and operators.");
+  daemon::AddCommonSettings(builder)
+      .RequiredText("operator-key-sha256",
+                    "SHA-256 of the key that operators present")
+      .Integer("max-request-bytes", kDefaultRequestBytes, 1024,
+               kHighestRequestBytes, "largest request body in bytes");
+  return RunProcess("shallotbank-entry", builder, argc, argv, RunDaemon);
+}
--- /dev/null
+++ b/apps/entry/request_service.cc
@@ -0,0 +1,432 @@
+#include "request_service.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/log.h"
+#include "configuration/configuration.h"
+
+namespace shallotbank::entry {
+namespace {
+
+namespace leaf = boost::leaf;
+using std::chrono::milliseconds;
+
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+auto Error(int status,
+           std::string reason,
+           std::string field,
+           std::string message) -> leaf::error_id {
+  return leaf::new_error(
+      ApiError{status, Refusal{Verdict::kNotRun, std::move(reason),
+                               std::move(field), std::move(message)}});
+}
+
+// The caller's deadline, at most that of the profile.
+auto ReadDeadline(const ApiCall& call, milliseconds longest)
+    -> leaf::result<milliseconds> {
+  const auto text = call.Header(header::kDeadline);
+  if (text.empty()) {
+    return longest;
+  }
+  std::int64_t value = 0;
+  const auto* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value <= 0) {
+    return Error(400, "invalid_header", header::kDeadline,
+                 "must be a whole number of milliseconds above 0");
+  }
+  return std::min(milliseconds(value), longest);
+}
+
+auto Digest(const ProfileName& profile, const std::string& body)
+    -> std::string {
+  return configuration::Sha256Hex(profile.Text() + "\n" + body);
+}
+
+auto StatusFor(routing::RefusalReason reason, Verdict verdict) -> int {
+  if (verdict != Verdict::kNotRun) {
+    return kGatewayTimeout;
+  }
+  switch (reason) {
+    case routing::RefusalReason::kQueueFull:
+    case routing::RefusalReason::kTeamQueueShare:
+    case routing::RefusalReason::kDisplaced:
+    case routing::RefusalReason::kWouldMissDeadline:
+      return kTooManyRequests;
+    case routing::RefusalReason::kDuplicateRequest:
+      return kConflict;
+    default:
+      return kUnavailable;
+  }
+}
+
+}  // namespace
+
+RequestService::RequestService(Context& context,
+                               Authorization& authorization,
+                               MinionGroups& groups)
+    : context(context),
+      authorization(authorization),
+      groups(groups),
+      router(routing::RouterPolicy{}, &context.metrics) {}
+
+auto RequestService::Handle(ApiCall call) -> void {
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        BOOST_LEAF_AUTO(caller, this->authorization.CheckProfile(call));
+        BOOST_LEAF_AUTO(request, this->Take(call, caller));
+        request.call = std::make_shared<ApiCall>(std::move(call));
+        if (request.request.idempotent) {
+          this->Submit(std::move(request));
+        } else {
+          this->Record(std::make_shared<OpenRequest>(std::move(request)));
+        }
+        return {};
+      },
+      [&](const ApiError& error) {
+        Refuse(this->context, call, error.status, error.refusal);
+      },
+      [&] { Refuse(this->context, call, 500, {.reason = "internal_error"}); });
+}
+
+auto RequestService::Take(const ApiCall& call, const Caller& caller)
+    -> leaf::result<OpenRequest> {
+  const auto& profile = *caller.profile;
+  if (profile.job_class != configuration::JobClass::kRequest) {
+    return Error(kUnprocessable, "profile_not_for_requests", header::kProfile,
+                 "the profile is for jobs; use /v1/jobs");
+  }
+  if (!profile.idempotent && call.Header(header::kRequestId).empty()) {
+    return Error(400, "missing_header", header::kRequestId,
+                 "a request that must not run twice needs an id of its own");
+  }
+  BOOST_LEAF_AUTO(
+      deadline,
+      ReadDeadline(call, profile.deadline.value_or(milliseconds(1000))));
+  OpenRequest request;
+  request.caller_id = call.request_id;
+  request.profile = profile.name;
+  request.body = call.request.body;
+  request.received_at = call.received_at;
+  request.request.id = RequestId(this->context.process.Text() + "-r" +
+                                 std::to_string(this->next_request++));
+  request.request.service = profile.service;
+  request.request.team = caller.team;
+  request.request.urgent = profile.priority == configuration::Priority::kUrgent;
+  request.request.idempotent = profile.idempotent;
+  request.request.deadline = call.received_at + deadline;
+  request.request.domain = this->context.settings.domain;
+  return request;
+}
+
+auto RequestService::Record(const std::shared_ptr<OpenRequest>& request)
+    -> void {
+  const auto digest = Digest(request->profile, request->body);
+  if (this->RefuseRepeat(*request, digest)) {
+    return;
+  }
+  if (!this->context.log.CanAppend()) {
+    Refuse(this->context, *request->call, kUnavailable,
+           {Verdict::kNotRun, "log_unavailable", "",
+            "the platform's log does not take records now; try again later"});
+    return;
+  }
+  const auto token = this->next_token++;
+  request->token = token;
+  const RequestId id(request->caller_id);
+  this->context.log.Append(
+      {journal::RequestIntent{request->request.team, id, digest, token}},
+      request->request.deadline,
+      [this, request, id, digest, token](const daemon::RecordedResult& result) {
+        if (result.verdict != Verdict::kRan) {
+          // The intent may be in the log, but this process, the only one that
+          // may forward the request, never will.
+          Refuse(this->context, *request->call, kUnavailable,
+                 {Verdict::kNotRun, "log_unavailable", "",
+                  "the platform's log did not record the request in time"});
+          return;
+        }
+        const bool is_first = this->context.log.State()->Requests().IsFirst(
+            request->request.team, id, this->context.process, token);
+        if (is_first) {
+          this->Submit(std::move(*request));
+        } else if (!this->RefuseRepeat(*request, digest)) {
+          Refuse(this->context, *request->call, kUnavailable,
+                 {Verdict::kNotRun, "request_not_recorded", "",
+                  "the request could not be recorded"});
+        }
+      });
+}
+
+// Answers a request whose id is in the log already. False if it is not.
+auto RequestService::RefuseRepeat(OpenRequest& request,
+                                  const std::string& digest) -> bool {
+  const auto* entry = this->context.log.State()->Requests().Find(
+      request.request.team, RequestId(request.caller_id));
+  if (entry == nullptr) {
+    return false;
+  }
+  auto& call = *request.call;
+  if (entry->digest != digest) {
+    Refuse(this->context, call, kUnprocessable,
+           {Verdict::kNotRun, "request_id_reused", header::kRequestId,
+            "the id belongs to another request; this one did not run"});
+    return true;
+  }
+  if (entry->answer && entry->answer->body) {
+    this->context.metrics.Add("requests_replayed_total");
+    call.responder.Send({entry->answer->status,
+                         {{"Content-Type", entry->answer->content_type},
+                          {header::kRequestId, request.caller_id},
+                          {header::kReplayed, "true"},
+                          {header::kHost, this->context.settings.host}},
+                         *entry->answer->body});
+    return true;
+  }
+  if (entry->answer) {
+    Refuse(this->context, call, kConflict,
+           {Verdict::kRan, "answer_not_kept", header::kRequestId,
+            "the request ran; its answer was too large to keep"});
+    return true;
+  }
+  Refuse(this->context, call, kConflict,
+         {Verdict::kMayHaveRun, "request_repeated", header::kRequestId,
+          "the request was taken in before; its outcome is not known"});
+  return true;
+}
+
+auto RequestService::Submit(OpenRequest request) -> void {
+  const auto submitted = request.request;
+  this->open.insert_or_assign(submitted.id, std::move(request));
+  this->Execute(this->router.Submit(submitted, SystemClock().Now()));
+}
+
+auto RequestService::HandleForwarded(rpc::ForwardRequest request,
+                                     rpc::Reply<rpc::ForwardResponse> reply)
+    -> void {
+  OpenRequest entry;
+  const auto now = SystemClock().Now();
+  entry.peer.emplace(std::move(reply));
+  entry.caller_id = request.request_id.Text();
+  entry.profile = request.profile;
+  entry.body = std::move(request.body);
+  entry.received_at = now;
+  entry.request.id = RequestId(this->context.process.Text() + "-f" +
+                               std::to_string(this->next_request++));
+  entry.request.service = request.service;
+  entry.request.team = request.team;
+  entry.request.idempotent = request.idempotent;
+  entry.request.forwarded = true;
+  entry.request.deadline = now + request.deadline_left;
+  entry.request.domain = this->context.settings.domain;
+  this->Submit(std::move(entry));
+}
+
+auto RequestService::HandleHosts(TimePoint now) -> void {
+  this->Execute(this->router.UpdateMinions(this->groups.Minions(), now));
+}
+
+auto RequestService::HandlePeer(const daemon::PeerInfo& peer) -> void {
+  if (peer.state.role != rpc::Role::kEntry) {
+    return;
+  }
+  if (peer.state.draining) {
+    this->router.RemovePeer(peer.state.process);
+    return;
+  }
+  routing::PeerRoom room{peer.state.process, peer.state.failure_domain, {}};
+  for (const auto& entry : peer.state.free_slots) {
+    room.services.push_back({entry.service, static_cast<int>(entry.slots), 0});
+  }
+  this->Execute(this->router.UpdatePeer(room, peer.last_heard));
+}
+
+auto RequestService::GroupLost(const ResourceId& group) -> void {
+  this->Execute(this->router.RemoveGroup(group, SystemClock().Now()));
+}
+
+auto RequestService::Tick(TimePoint now) -> void {
+  for (const auto& group : this->groups.Usable(now)) {
+    this->Execute(this->router.SetGroup(group, now));
+  }
+  this->Execute(this->router.Expire(now));
+}
+
+auto RequestService::FreeSlots() -> std::vector<rpc::FreeSlots> {
+  std::vector<rpc::FreeSlots> result;
+  for (const auto& room : this->router.FreeRoom(SystemClock().Now())) {
+    result.push_back({room.service, static_cast<std::uint32_t>(
+                                        std::max(room.free_slots, 0))});
+  }
+  return result;
+}
+
+auto RequestService::Execute(const routing::Actions& actions) -> void {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& one) { this->Execute(one); }, action);
+  }
+}
+
+auto RequestService::Execute(const routing::Dispatch& dispatch) -> void {
+  const auto sent_at = SystemClock().Now();
+  const auto& hosts = this->context.hosts.Table().Hosts();
+  const auto host = hosts.find(dispatch.minion.Text());
+  const auto request = this->open.find(dispatch.request);
+  if (host == hosts.end() || request == this->open.end() ||
+      sent_at >= dispatch.authority_until) {
+    this->Complete(dispatch.attempt, sent_at, {.error = "not sent"});
+    return;
+  }
+  const auto& entry = request->second;
+  http::Call call{.method = "POST",
+                  .url = host->second.url + "/requests",
+                  .headers = {{"Content-Type", "application/json"},
+                              {header::kRequestId, entry.caller_id},
+                              {header::kProfile, entry.profile.Text()}},
+                  .body = entry.body,
+                  .timeout = std::max(dispatch.deadline - sent_at,
+                                      Duration(milliseconds(1)))};
+  const auto attempt = dispatch.attempt;
+  this->context.client.Send(
+      std::move(call), [this, attempt, sent_at](http::Reply reply) {
+        auto shared = std::make_shared<http::Reply>(std::move(reply));
+        this->context.loop.PostAndWait([this, attempt, sent_at, shared] {
+          this->Complete(attempt, sent_at, std::move(*shared));
+        });
+      });
+}
+
+auto RequestService::Execute(const routing::Overflow& overflow) -> void {
+  const auto sent_at = SystemClock().Now();
+  const auto* peer = this->context.peers.Find(overflow.peer);
+  const auto request = this->open.find(overflow.request);
+  if (peer == nullptr || request == this->open.end()) {
+    this->Complete(overflow.attempt, sent_at, {.error = "not sent"});
+    return;
+  }
+  const auto& entry = request->second;
+  const auto left = overflow.deadline - sent_at;
+  const auto attempt = overflow.attempt;
+  this->context.peers.Call<rpc::ForwardRequest>(
+      peer->address,
+      {.service = entry.request.service,
+       .team = entry.request.team,
+       .profile = entry.profile,
+       .request_id = RequestId(entry.caller_id),
+       .deadline_left = left,
+       .idempotent = entry.request.idempotent,
+       .body = entry.body,
+       .headers = {}},
+      left,
+      [this, attempt, sent_at](rpc::CallResult<rpc::ForwardResponse> result) {
+        http::Reply reply{.verdict = result.verdict, .error = result.reason};
+        if (result.response) {
+          reply.verdict = result.response->verdict;
+          reply.status = result.response->status;
+          reply.body = std::move(result.response->body);
+          reply.error = result.response->reason;
+          for (auto& header : result.response->headers) {
+            reply.headers.push_back({header.name, header.value});
+          }
+        }
+        this->Complete(attempt, sent_at, std::move(reply));
+      });
+}
+
+auto RequestService::Complete(routing::AttemptId attempt,
+                              TimePoint sent_at,
+                              http::Reply reply) -> void {
+  const auto now = SystemClock().Now();
+  const routing::Outcome outcome{.verdict = reply.verdict,
+                                 .status = reply.status,
+                                 .latency = now - sent_at};
+  this->current = std::move(reply);
+  this->Execute(this->router.Complete(attempt, outcome, now));
+}
+
+auto RequestService::Execute(const routing::Answer& answer) -> void {
+  auto found = this->open.extract(answer.request);
+  if (found.empty()) {
+    return;
+  }
+  auto& request = found.mapped();
+  const auto& reply = this->current;
+  const auto* type = http::FindHeader(reply.headers, "Content-Type");
+  const std::string content_type =
+      type == nullptr ? "application/octet-stream" : *type;
+  this->context.metrics.Observe("request_latency_seconds",
+                                SystemClock().Now() - request.received_at);
+  if (request.peer) {
+    request.peer->Send({.verdict = Verdict::kRan,
+                        .status = static_cast<std::uint16_t>(reply.status),
+                        .headers = {{"Content-Type", content_type}},
+                        .body = reply.body,
+                        .reason = ""});
+    return;
+  }
+  if (request.token) {
+    this->RecordOutcome(request);
+  }
+  const bool sent = request.call->responder.Send(
+      {reply.status,
+       {{"Content-Type", content_type},
+        {header::kRequestId, request.caller_id},
+        {header::kHost, this->context.settings.host}},
+       reply.body});
+  if (!sent) {
+    this->context.metrics.Add("http_answers_undeliverable_total");
+  }
+}
+
+auto RequestService::RecordOutcome(const OpenRequest& request) -> void {
+  const auto& reply = this->current;
+  const auto* type = http::FindHeader(reply.headers, "Content-Type");
+  journal::RequestOutcome outcome;
+  outcome.team = request.request.team;
+  outcome.request = RequestId(request.caller_id);
+  outcome.token = *request.token;
+  outcome.status = reply.status;
+  outcome.content_type = type == nullptr ? "" : *type;
+  outcome.body_digest = configuration::Sha256Hex(reply.body);
+  if (reply.body.size() <= journal::kMaxAnswerBytes) {
+    outcome.body = reply.body;
+  }
+  this->context.log.Append({std::move(outcome)}, TimePoint::max(),
+                           [](const daemon::RecordedResult&) {});
+}
+
+auto RequestService::Execute(const routing::Refuse& refuse) -> void {
+  auto found = this->open.extract(refuse.request);
+  if (found.empty()) {
+    return;
+  }
+  auto& request = found.mapped();
+  if (request.peer) {
+    request.peer->Send({.verdict = refuse.refusal.verdict,
+                        .status = 0,
+                        .headers = {},
+                        .body = "",
+                        .reason = refuse.refusal.reason});
+    return;
+  }
+  Refuse(this->context, *request.call,
+         StatusFor(refuse.reason, refuse.refusal.verdict), refuse.refusal);
+}
+
+auto RequestService::Execute(const routing::Eject& eject) -> void {
+  LogEvent(Event::kMinionEjected,
+           {{"minion", eject.minion.Text()},
+            {"reason", std::string(routing::ToText(eject.reason))}});
+}
+
+auto RequestService::Execute(const routing::Restore& restore) -> void {
+  LogEvent(Event::kMinionRestored, {{"minion", restore.minion.Text()}});
+}
+
+}  // namespace shallotbank::entry
--- a/apps/entry/view_freshness.h
+++ b/apps/entry/view_freshness.h
@@ -29,8 +29,9 @@
 /// A withdrawal of a key is an append, so a view may be used if it was read
 /// recently, if a peer that can read the log has the same head, or if no live
 /// peer can read the log either.
-auto JudgeView(Duration own_age, Offset own_head, const std::vector<PeerView>& peers)
-    -> ViewJudgement;
+auto JudgeView(Duration own_age,
+               Offset own_head,
+               const std::vector<PeerView>& peers) -> ViewJudgement;
 
 /// A view that was read this recently is fresh.
 inline constexpr std::chrono::seconds kFreshAge{2};
--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -46,7 +46,9 @@
               this->log,
               this->peers,
               {.gained =
-                   [this](const ResourceId& resource, Epoch epoch) {
+                   [this](const ResourceId& resource,
+                          Epoch epoch,
+                          bool /*is_takeover*/) {
                      this->HandleGained(resource, epoch);
                    },
                .lost =
--- a/libs/daemon/include/daemon/resource_claimer.h
+++ b/libs/daemon/include/daemon/resource_claimer.h
@@ -17,7 +17,8 @@
 class ResourceClaimer {
  public:
   struct Events {
-    std::function<void(const ResourceId&, Epoch)> gained;
+    /// `is_takeover`: the previous owner did not release the resource.
+    std::function<void(const ResourceId&, Epoch, bool is_takeover)> gained;
     std::function<void(const ResourceId&)> lost;
   };
 
@@ -40,6 +41,7 @@
   struct Resource {
     Epoch own_epoch = 0;  ///< 0 unless this process owns it.
     bool is_claiming = false;
+    Epoch superseded = 0;
     TimePoint claimable_since;
   };
 
--- a/libs/daemon/src/resource_claimer.cc
+++ b/libs/daemon/src/resource_claimer.cc
@@ -80,7 +80,7 @@
     resource.own_epoch = epoch;
     LogEvent(Event::kOwnershipGained,
              {{"resource", id.Text()}, {"epoch", std::to_string(epoch)}});
-    this->events.gained(id, epoch);
+    this->events.gained(id, epoch, resource.superseded != 0);
   }
 }
 
@@ -111,6 +111,7 @@
   resource.is_claiming = true;
   this->open_appends++;
   const auto supersedes = this->log.State()->Claims().EpochOf(id);
+  resource.superseded = supersedes;
   LogEvent(Event::kClaimAppended, {{"resource", id.Text()},
                                    {"supersedes", std::to_string(supersedes)}});
   this->log.Append({journal::Claim{.resource = id,
