--- /dev/null
+++ b/libs/journal/include/journal/snapshot_sink.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <functional>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace shallotbank::journal {
+
+/// Takes the items of a snapshot, one fact each.
+using SnapshotSink = std::function<void(const nlohmann::json&)>;
+
+}  // namespace shallotbank::journal
--- /dev/null
+++ b/libs/journal/src/claim_table.cc
@@ -0,0 +1,69 @@
+#include "journal/claim_table.h"
+
+#include "field_reader.h"
+#include "record_fields.h"
+
+namespace shallotbank::journal {
+
+auto ClaimTable::Find(const ResourceId& resource) const -> const Ownership* {
+  const auto found = this->claims.find(resource);
+  return found == this->claims.end() ? nullptr : &found->second;
+}
+
+auto ClaimTable::EpochOf(const ResourceId& resource) const -> Epoch {
+  const auto* ownership = this->Find(resource);
+  return ownership == nullptr ? 0 : ownership->epoch;
+}
+
+auto ClaimTable::Apply(const Claim& record, Offset offset, WallTime at)
+    -> RecordOutcome {
+  if (record.supersedes != this->EpochOf(record.resource)) {
+    return Invalid("superseded");
+  }
+  // The epoch 0 means that nobody owns the resource.
+  if (offset == 0) {
+    return Invalid("offset_zero");
+  }
+  this->claims.insert_or_assign(
+      record.resource, Ownership{record.owner, offset, record.addresses, at});
+  return kValid;
+}
+
+auto ClaimTable::Apply(const Release& record) -> RecordOutcome {
+  const auto* ownership = this->Find(record.resource);
+  if (ownership == nullptr || ownership->epoch != record.epoch ||
+      ownership->owner != record.owner) {
+    return Invalid("not_owner");
+  }
+  this->claims.erase(record.resource);
+  return kValid;
+}
+
+auto ClaimTable::Save(const SnapshotSink& sink) const -> void {
+  for (const auto& [resource, ownership] : this->claims) {
+    sink({{"kind", "claim"},
+          {"resource", resource.Text()},
+          {"owner", ownership.owner.Text()},
+          {"epoch", ownership.epoch},
+          {"addresses", WriteTexts(ownership.addresses)},
+          {"at", WriteWall(ownership.claimed_at)}});
+  }
+}
+
+auto ClaimTable::Load(const nlohmann::json& item) -> bool {
+  FirstError error;
+  FieldReader reader(&item, "", error);
+  const auto resource = reader.Name<ResourceId>("resource");
+  Ownership ownership;
+  ownership.owner = reader.Name<ProcessId>("owner");
+  ownership.epoch = reader.Unsigned("epoch");
+  ownership.addresses = ReadTexts(reader, "addresses");
+  ownership.claimed_at = reader.Wall("at");
+  return !error && this->claims.emplace(resource, std::move(ownership)).second;
+}
+
+auto ResourceOf(const ShardId& shard) -> ResourceId {
+  return ResourceId(shard.Text());
+}
+
+}  // namespace shallotbank::journal
--- /dev/null
+++ b/libs/journal/src/configuration_table.cc
@@ -0,0 +1,106 @@
+#include "journal/configuration_table.h"
+
+#include "configuration/configuration_change.h"
+#include "field_reader.h"
+#include "record_fields.h"
+
+namespace shallotbank::journal {
+
+namespace leaf = boost::leaf;
+using configuration::ApplyTo;
+using configuration::ConfigurationErrors;
+using configuration::UnknownFields;
+
+namespace {
+
+/// Leaves the item out, and reports why, if it cannot be added.
+auto AddItem(const configuration::ConfigurationChange& item,
+             configuration::Configuration& target,
+             std::vector<configuration::ConfigurationError>& faults) -> void {
+  auto label = std::string(configuration::ToText(item.kind));
+  label += " '" + item.name + "': ";
+  leaf::try_handle_all(
+      [&]() -> leaf::result<void> {
+        return ApplyTo(target, {item}, UnknownFields::kIgnore);
+      },
+      [&](const ConfigurationErrors& errors) {
+        for (auto error : errors.errors) {
+          error.message = label + error.message;
+          faults.push_back(std::move(error));
+        }
+      },
+      [&] {
+        faults.push_back({item.name, {}, "unreadable", label});
+      });
+}
+
+}  // namespace
+
+auto ConfigurationTable::Apply(const ConfigurationChanged& record,
+                               Offset offset) -> RecordOutcome {
+  if (record.expected_version != this->version) {
+    return Invalid("stale_version");
+  }
+  // The version 0 means that there is no configuration yet.
+  if (offset == 0) {
+    return Invalid("offset_zero");
+  }
+  this->version = offset;
+  for (const auto& change : record.changes) {
+    const ItemKey key{change.kind, change.name};
+    if (change.value) {
+      this->items.insert_or_assign(key, *change.value);
+    } else {
+      this->items.erase(key);
+    }
+  }
+  const auto is_applied =
+      this->faults.empty() &&
+      ApplyTo(this->configuration, record.changes, UnknownFields::kIgnore);
+  if (!is_applied) {
+    this->Rebuild();
+  }
+  return kValid;
+}
+
+auto ConfigurationTable::Rebuild() -> void {
+  this->configuration = {};
+  this->faults.clear();
+  // In the order of kinds, so that what an item refers to comes before it.
+  for (const auto& [key, value] : this->items) {
+    AddItem({key.first, key.second, value}, this->configuration, this->faults);
+  }
+}
+
+auto ConfigurationTable::Save(const SnapshotSink& sink) const -> void {
+  sink({{"kind", "configuration_version"}, {"version", this->version}});
+  for (const auto& [key, value] : this->items) {
+    sink({{"kind", "configuration_item"},
+          {"item", WriteChange({key.first, key.second, value})}});
+  }
+}
+
+auto ConfigurationTable::Load(const nlohmann::json& item) -> bool {
+  FirstError error;
+  FieldReader reader(&item, "", error);
+  if (reader.Text("kind") == "configuration_version") {
+    this->version = reader.Unsigned("version");
+    return !error;
+  }
+  if (!reader.Has("item")) {
+    return false;
+  }
+  auto change = ReadChange(item.at("item"), "item", error);
+  if (error || !change.value) {
+    return false;
+  }
+  return this->items
+      .emplace(ItemKey{change.kind, change.name}, std::move(*change.value))
+      .second;
+}
+
+auto ConfigurationTable::FinishLoad() -> void {
+  this->Rebuild();
+}
+
+}  // namespace shallotbank::journal
--- /dev/null
+++ b/libs/journal/src/writer_table.cc
@@ -0,0 +1,125 @@
+#include "journal/writer_table.h"
+
+#include <algorithm>
+
+#include "field_reader.h"
+
+namespace shallotbank::journal {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+// How often silent writers are looked for, in time of the log.
+constexpr milliseconds kExpiryInterval = std::chrono::minutes(10);
+constexpr std::int64_t kMaxSkewMs = 1'000'000'000'000'000;
+
+}  // namespace
+
+auto WriterTable::HasSeen(const ProcessId& writer, std::uint64_t sequence) const
+    -> bool {
+  const auto found = this->writers.find(writer);
+  return found != this->writers.end() && found->second.seen.Contains(sequence);
+}
+
+auto WriterTable::AdvanceLogTime(Writer& writer, WallTime at) -> void {
+  const auto candidate = at + writer.behind_log;
+  const auto step = candidate - this->log_time;
+  if (step > kMaxStep) {
+    this->log_time += kMaxStep;
+  } else {
+    this->log_time = std::max(this->log_time, candidate);
+  }
+  // The clock of the writer was set, in either direction: start over from here.
+  if (step > kMaxStep || at < writer.latest) {
+    writer.behind_log = this->log_time - at;
+  }
+}
+
+auto WriterTable::Observe(const ProcessId& writer,
+                          std::uint64_t sequence,
+                          WallTime at) -> bool {
+  if (this->HasSeen(writer, sequence)) {
+    return false;
+  }
+  if (!this->is_started) {
+    this->is_started = true;
+    this->log_time = at;
+    this->next_expiry = at;
+  }
+  const auto [place, is_new] = this->writers.try_emplace(writer);
+  auto& entry = place->second;
+  if (is_new) {
+    entry.latest = at;
+    entry.behind_log = this->log_time - at;
+  }
+  entry.seen.Insert(sequence);
+  this->AdvanceLogTime(entry, at);
+  entry.latest = at;
+  entry.last_seen = this->log_time;
+  return true;
+}
+
+auto WriterTable::Expire() -> void {
+  if (this->log_time < this->next_expiry) {
+    return;
+  }
+  this->next_expiry = this->log_time + kExpiryInterval;
+  std::erase_if(this->writers, [this](const auto& entry) {
+    return this->log_time - entry.second.last_seen > this->window;
+  });
+}
+
+auto WriterTable::Save(const SnapshotSink& sink) const -> void {
+  sink({{"kind", "log_time"},
+        {"started", this->is_started},
+        {"at", WriteWall(this->log_time)},
+        {"next_expiry", WriteWall(this->next_expiry)}});
+  for (const auto& [id, writer] : this->writers) {
+    auto ranges = json::array();
+    for (const auto& [low, high] : writer.seen.Ranges()) {
+      ranges.push_back(low);
+      ranges.push_back(high);
+    }
+    sink({{"kind", "writer"},
+          {"writer", id.Text()},
+          {"ranges", std::move(ranges)},
+          {"latest", WriteWall(writer.latest)},
+          {"behind_log", writer.behind_log.count()},
+          {"last_seen", WriteWall(writer.last_seen)}});
+  }
+}
+
+auto WriterTable::Load(const json& item) -> bool {
+  FirstError error;
+  FieldReader reader(&item, "", error);
+  if (reader.Text("kind") == "log_time") {
+    this->is_started = reader.FlagOr("started", false);
+    this->log_time = reader.Wall("at");
+    this->next_expiry = reader.Wall("next_expiry");
+    return !error;
+  }
+  const auto id = reader.Name<ProcessId>("writer");
+  Writer writer;
+  writer.latest = reader.Wall("latest");
+  writer.behind_log =
+      milliseconds(reader.Integer("behind_log", -kMaxSkewMs, kMaxSkewMs));
+  writer.last_seen = reader.Wall("last_seen");
+  const auto* numbers = reader.Array("ranges");
+  if (error || numbers->size() % 2 != 0) {
+    return false;
+  }
+  std::vector<SequenceSet::Range> ranges;
+  for (std::size_t i = 0; i < numbers->size(); i += 2) {
+    const auto& low = (*numbers)[i];
+    const auto& high = (*numbers)[i + 1];
+    if (!low.is_number_unsigned() || !high.is_number_unsigned()) {
+      return false;
+    }
+    ranges.emplace_back(low.get<std::uint64_t>(), high.get<std::uint64_t>());
+  }
+  return writer.seen.Assign(std::move(ranges)) &&
+         this->writers.emplace(id, std::move(writer)).second;
+}
+
+}  // namespace shallotbank::journal
