--- a/cmake/Shallotbank.cmake
+++ b/cmake/Shallotbank.cmake
@@ -5,6 +5,8 @@
   shallotbank_flags
   INTERFACE -Wall
             -Wextra
+            # Designated initializers leave out members on purpose.
+            -Wno-missing-field-initializers
             -Wshadow=local
             -Wnon-virtual-dtor
             -Werror
