Add the membership library: peer table and authority

Ruled out: treating the log as down for all while some peers are silent; that case has its own result, since a silent peer may be cut off from this process and still accept a withdrawal.

--- /dev/null
+++ b/libs/membership/include/membership/view_freshness.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <ostream>
+#include <string_view>
+
+#include "base/ids.h"
+
+namespace shallotbank::membership {
+
+enum class FreshnessKind {
+  /// The own log read is recent, or a peer with a recent read is not ahead.
+  kFresh,
+  /// `Freshness::peer` has read further; its records are needed.
+  kReadFromPeer,
+  /// All peers answer and none can read the log: the view counts as fresh.
+  kLogDownForAll,
+  /// No peer that answers can read the log, but some peers do not answer and
+  /// could have accepted a change.
+  kLogDownForReachable,
+  /// Neither the log nor any peer answers; keyed work is refused.
+  kIsolated,
+};
+
+/// Whether the local view of the log may be used.
+struct Freshness {
+  FreshnessKind kind = FreshnessKind::kIsolated;
+  ProcessId peer{};  ///< Set for `kReadFromPeer` only.
+};
+
+auto ToText(FreshnessKind kind) -> std::string_view;
+auto operator<<(std::ostream& out, FreshnessKind kind) -> std::ostream&;
+
+}  // namespace shallotbank::membership
