Use the membership library for liveness, freshness and authority

Cause: the daemons judged peers and ownership by ad-hoc rules; a shard owner counted worker answers itself and a minion group trusted 'the log is down' alone. Ruled out: waiting for every peer while the log is down, because one dead host would then stop all others for as long as the outage lasts; a majority of the known peers suffices there. Before: authority of a minion group rested on the log or on guesswork. After: entry processes are witnesses of each other's epochs, workers those of a shard.

--- a/apps/entry/authorization.cc
+++ b/apps/entry/authorization.cc
@@ -92,29 +92,42 @@
     return Error(kUnavailable, "not_ready", "",
                  "this host has not read the configuration yet");
   }
-  const auto judgement = this->Judge();
-  if (!judgement.is_fresh) {
+  if (!this->IsViewFresh()) {
     return Error(kUnavailable, "stale_view", "",
-                 std::string("this host's view of the configuration may be out "
-                             "of date (") +
-                     judgement.reason + ")");
+                 "this host's view of the configuration may be out of date");
   }
   return {};
 }
 
-auto Authorization::Judge() -> ViewJudgement {
+auto Authorization::IsViewFresh() -> bool {
+  using membership::FreshnessKind;
   const auto now = SystemClock().Now();
-  std::vector<PeerView> views;
-  for (const auto& [process, peer] : this->context.peers.Peers()) {
-    views.push_back({peer.address, peer.state.log_head, now - peer.last_heard,
-                     peer.state.log_age});
+  const auto freshness = this->context.peers.Table().ViewFreshness(now);
+  switch (freshness.kind) {
+    case FreshnessKind::kFresh:
+    case FreshnessKind::kLogDownForAll:
+      return true;
+    case FreshnessKind::kLogDownForReachable:
+      // A dead host must not stop the others for as long as the log is down;
+      // a minority that alone can read the log is the price.
+      return this->HasMajorityOfPeers(now);
+    case FreshnessKind::kReadFromPeer:
+      if (const auto* peer = this->context.peers.Find(freshness.peer);
+          peer != nullptr && !this->is_reading) {
+        this->ReadFrom(peer->address);
+      }
+      return false;
+    case FreshnessKind::kIsolated:
+      return false;
   }
-  auto judgement = JudgeView(now - this->context.log.LastGoodRead(),
-                             this->context.log.Head(), views);
-  if (judgement.read_from && !this->is_reading) {
-    this->ReadFrom(*judgement.read_from);
-  }
-  return judgement;
+  return false;
+}
+
+auto Authorization::HasMajorityOfPeers(TimePoint now) const -> bool {
+  const auto& table = this->context.peers.Table();
+  const auto alive = table.Count(membership::PeerState::kAlive, now) + 1;
+  const auto suspected = table.Count(membership::PeerState::kSuspected, now);
+  return 2 * alive > alive + suspected;
 }
 
 auto Authorization::ReadFrom(const std::string& address) -> void {
@@ -131,6 +144,7 @@
           records.push_back({record.offset, std::move(record.data)});
         }
         this->context.log.ApplyFromPeer(records);
+        this->context.peers.Table().CaughtUp(this->context.log.Head());
       });
 }
 
--- a/apps/entry/authorization.h
+++ b/apps/entry/authorization.h
@@ -4,7 +4,7 @@
 
 #include "api.h"
 #include "configuration/configuration.h"
-#include "view_freshness.h"
+#include "membership/view_freshness.h"
 
 namespace shallotbank::entry {
 
@@ -35,11 +35,12 @@
   /// Errors: `ApiError` while the view may be out of date.
   auto CheckView() -> boost::leaf::result<void>;
 
-  /// Whether the own view may be used now; reads from a peer if it is ahead.
-  auto Judge() -> ViewJudgement;
+  /// Whether the own view may be used now; reads from a peer if that is ahead.
+  auto IsViewFresh() -> bool;
 
  private:
   auto ReadFrom(const std::string& address) -> void;
+  auto HasMajorityOfPeers(TimePoint now) const -> bool;
 
   Context& context;
   bool is_reading = false;
--- a/apps/entry/entry_daemon.cc
+++ b/apps/entry/entry_daemon.cc
@@ -36,7 +36,8 @@
             this->loop,
             this->client,
             this->metrics),
-      peers({.listen_address = this->settings.rpc.address,
+      peers(this->process,
+            {.listen_address = this->settings.rpc.address,
              .listen_port = this->settings.rpc.port,
              .seeds = this->settings.peers},
             this->loop,
@@ -45,27 +46,26 @@
               this->loop,     this->log,     this->hosts,
               this->peers,    this->client,  this->metrics},
       authorization(this->context),
-      groups(this->context, this->authorization),
+      groups(this->context),
       requests(this->context, this->authorization, this->groups),
       jobs(this->context, this->authorization),
       configuration(this->context, this->authorization),
       status(this->context, this->authorization),
-      claimer(this->process,
-              rpc::Role::kEntry,
-              this->log,
-              this->peers,
-              {.gained =
-                   [this](const ResourceId& group,
-                          Epoch /*epoch*/,
-                          bool is_takeover) {
-                     this->groups.Gained(group, is_takeover,
-                                         SystemClock().Now());
-                   },
-               .lost =
-                   [this](const ResourceId& group) {
-                     this->groups.Lost(group);
-                     this->requests.GroupLost(group);
-                   }}),
+      claimer(
+          this->process,
+          rpc::Role::kEntry,
+          this->log,
+          this->peers,
+          {.gained =
+               [this](const ResourceId& group, Epoch epoch, bool is_takeover) {
+                 this->groups.Gained(group, epoch, is_takeover,
+                                     SystemClock().Now());
+               },
+           .lost =
+               [this](const ResourceId& group) {
+                 this->groups.Lost(group);
+                 this->requests.GroupLost(group);
+               }}),
       server({.address = this->settings.http.address,
               .port = this->settings.http.port,
               .threads = 4,
@@ -107,6 +107,11 @@
 auto EntryDaemon::MakeHandlers() -> daemon::PeerHub::Handlers {
   return {
       .describe_self = [this] { return this->DescribeSelf(); },
+      .witness =
+          [this](const rpc::WitnessRequest& request,
+                 rpc::Reply<rpc::WitnessResponse> reply) {
+            reply.Send({this->groups.Witness(request.resource, request.epoch)});
+          },
       .read_records =
           [this](const rpc::ReadRecordsRequest& request,
                  rpc::Reply<rpc::ReadRecordsResponse> reply) {
@@ -134,6 +139,7 @@
 auto EntryDaemon::DescribeSelf() -> rpc::PeerState {
   rpc::PeerState state;
   state.process = this->process;
+  state.incarnation = this->incarnation;
   state.host = this->settings.host;
   state.role = rpc::Role::kEntry;
   state.http_address =
@@ -227,15 +233,17 @@
 }
 
 auto EntryDaemon::IsReady() -> bool {
-  return this->log.State() != nullptr && this->authorization.Judge().is_fresh;
+  return this->log.State() != nullptr && this->authorization.IsViewFresh();
 }
 
 auto EntryDaemon::Tick() -> void {
   const auto now = SystemClock().Now();
   this->is_ready = this->IsReady();
   this->hosts.Tick(now);
+  this->peers.Table().LogRead(this->log.LastGoodRead(), this->log.Head());
   this->peers.Tick(now);
   this->claimer.Tick(now);
+  this->groups.Tick(now);
   this->requests.Tick(now);
   this->CheckStop(now);
 }
--- a/apps/entry/entry_daemon.h
+++ b/apps/entry/entry_daemon.h
@@ -38,6 +38,7 @@
 
   daemon::CommonSettings settings;
   ProcessId process;
+  std::uint64_t incarnation = daemon::MakeIncarnation();
   Metrics metrics;
   daemon::CoreLoop loop;
   http::Client client;
--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -36,7 +36,8 @@
             this->loop,
             this->client,
             this->metrics),
-      peers({.listen_address = this->settings.rpc.address,
+      peers(this->process,
+            {.listen_address = this->settings.rpc.address,
              .listen_port = this->settings.rpc.port,
              .seeds = this->settings.peers},
             this->loop,
@@ -48,8 +49,8 @@
               {.gained =
                    [this](const ResourceId& resource,
                           Epoch epoch,
-                          bool /*is_takeover*/) {
-                     this->HandleGained(resource, epoch);
+                          bool is_takeover) {
+                     this->HandleGained(resource, epoch, is_takeover);
                    },
                .lost =
                    [this](const ResourceId& resource) {
@@ -135,6 +136,7 @@
 auto SchedDaemon::DescribeSelf() -> rpc::PeerState {
   rpc::PeerState state;
   state.process = this->process;
+  state.incarnation = this->incarnation;
   state.host = this->settings.host;
   state.role = rpc::Role::kSched;
   state.http_address =
@@ -151,6 +153,7 @@
 auto SchedDaemon::Tick() -> void {
   const auto now = SystemClock().Now();
   this->hosts.Tick(now);
+  this->peers.Table().LogRead(this->log.LastGoodRead(), this->log.Head());
   this->peers.Tick(now);
   this->UpdateResources();
   this->claimer.Tick(now);
@@ -174,8 +177,9 @@
   this->claimer.SetResources(wanted);
 }
 
-auto SchedDaemon::HandleGained(const ResourceId& resource, Epoch epoch)
-    -> void {
+auto SchedDaemon::HandleGained(const ResourceId& resource,
+                               Epoch epoch,
+                               bool is_takeover) -> void {
   const auto shards =
       this->log.State()->Configuration().Get().GetPolicy().shards;
   const auto number = ShardNumber(resource, shards);
@@ -183,7 +187,7 @@
     return;
   }
   auto runner = std::make_shared<ShardRunner>(
-      configuration::ShardAt(number), number, epoch,
+      configuration::ShardAt(number), number, epoch, is_takeover,
       ShardRunner::Context{this->loop, this->log, this->hosts, this->client,
                            this->metrics});
   runner->Load(SystemClock().Now());
--- a/apps/sched/sched_daemon.h
+++ b/apps/sched/sched_daemon.h
@@ -32,7 +32,8 @@
   auto Tick() -> void;
   auto CheckStop(TimePoint now) -> void;
   auto UpdateResources() -> void;
-  auto HandleGained(const ResourceId& resource, Epoch epoch) -> void;
+  auto HandleGained(const ResourceId& resource, Epoch epoch, bool is_takeover)
+      -> void;
   auto HandleHttp(const http::Request& request, http::Responder responder)
       -> void;
   auto RunnerOf(const ShardId& shard) const -> const ShardRunner*;
@@ -45,6 +46,7 @@
 
   daemon::CommonSettings settings;
   ProcessId process;
+  std::uint64_t incarnation = daemon::MakeIncarnation();
   Metrics metrics;
   daemon::CoreLoop loop;
   http::Client client;
--- a/apps/sched/shard_runner.cc
+++ b/apps/sched/shard_runner.cc
@@ -41,19 +41,26 @@
   return std::visit(Visitor{command}, command.command);
 }
 
+auto ToWitness(const WorkerId& worker) -> membership::WitnessId {
+  return membership::WitnessId(worker.Text());
+}
+
 }  // namespace
 
 ShardRunner::ShardRunner(ShardId shard,
                          std::int64_t number,
                          Epoch epoch,
+                         bool is_takeover,
                          Context context)
     : shard(std::move(shard)),
       number(number),
       context(context),
       scheduler(epoch,
-                scheduling::SchedulingOptions{.previous_authority = kAuthority},
+                scheduling::SchedulingOptions{.previous_authority =
+                                                  membership::kAuthority},
                 &context.metrics,
-                SystemClock().Now()) {}
+                SystemClock().Now()),
+      authority(epoch, {}, is_takeover) {}
 
 auto ShardRunner::Load(TimePoint now) -> void {
   this->HandleHosts(now);
@@ -80,8 +87,22 @@
 auto ShardRunner::HandleHosts(TimePoint now) -> void {
   const auto shards =
       this->context.log.State()->Configuration().Get().GetPolicy().shards;
-  this->scheduler.SetWorkers(
-      WorkersOfShard(this->context.hosts.Table(), this->number, shards), now);
+  const auto workers =
+      WorkersOfShard(this->context.hosts.Table(), this->number, shards);
+  this->scheduler.SetWorkers(workers, now);
+  std::set<WorkerId> listed;
+  for (const auto& worker : workers) {
+    if (!worker.is_gone) {
+      listed.insert(worker.worker.id);
+      this->authority.AddWitness(ToWitness(worker.worker.id));
+    }
+  }
+  for (const auto& worker : this->witnesses) {
+    if (!listed.contains(worker)) {
+      this->authority.RemoveWitness(ToWitness(worker));
+    }
+  }
+  this->witnesses = std::move(listed);
   this->UpdatePolicy();
 }
 
@@ -131,26 +152,18 @@
 }
 
 auto ShardRunner::AuthorityUntil() const -> TimePoint {
-  // The log showed this epoch in force.
-  auto confirmed_at = this->context.log.LastGoodRead();
-  // A majority of the workers answered at this epoch.
-  std::vector<TimePoint> times;
-  for (const auto& [worker, sent_at] : this->confirmed) {
-    times.push_back(sent_at);
-  }
-  const auto majority = this->scheduler.WorkerCount() / 2 + 1;
-  if (times.size() >= majority) {
-    std::nth_element(times.begin(),
-                     times.begin() + static_cast<std::ptrdiff_t>(majority) - 1,
-                     times.end(), std::greater<>());
-    confirmed_at = std::max(confirmed_at, times[majority - 1]);
-  }
-  return confirmed_at + kAuthority;
+  return this->draining ? TimePoint::min() : this->authority.Until();
+}
+
+auto ShardRunner::EpochInForce() const -> Epoch {
+  return this->context.log.State()->Claims().EpochOf(
+      journal::ResourceOf(this->shard));
 }
 
 auto ShardRunner::Tick(TimePoint now) -> void {
-  const bool may_act = !this->fenced && !this->draining;
-  this->scheduler.SetAuthority(may_act ? this->AuthorityUntil() : TimePoint());
+  this->authority.ConfirmByLog(this->EpochInForce(),
+                               this->context.log.LastGoodRead());
+  this->scheduler.SetAuthority(this->AuthorityUntil());
   const auto output = this->scheduler.Tick(now);
   for (const auto& command : output.commands) {
     this->Send(command);
@@ -168,16 +181,16 @@
 }
 
 auto ShardRunner::Send(const WorkerCommand& command) -> void {
-  const auto& hosts = this->context.hosts.Table().Hosts();
-  const auto host = hosts.find(command.worker.Text());
+  const auto* host =
+      this->context.hosts.Table().FindOrGone(command.worker.Text());
   const auto sent_at = SystemClock().Now();
-  if (host == hosts.end()) {
+  if (host == nullptr) {
     this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, sent_at);
     return;
   }
   auto encoded = Encode(command);
   http::Call call{.method = "POST",
-                  .url = host->second.url + encoded.path,
+                  .url = host->url + encoded.path,
                   .body = std::move(encoded.body),
                   .timeout = command.timeout};
   this->context.client.Send(
@@ -199,12 +212,14 @@
   constexpr int kConflict = 409;
   constexpr int kPreconditionFailed = 412;
   const auto now = SystemClock().Now();
+  const auto witness = ToWitness(command.worker);
   if (reply.status == kConflict) {
-    if (!this->fenced) {
-      this->fenced = true;
+    const auto highest = worker_protocol::DecodeHighestEpoch(reply.body);
+    if (highest && !this->authority.IsSuperseded()) {
       LogEvent(Event::kOwnershipLost, {{"shard", this->shard.Text()},
                                        {"cause", "newer epoch at a worker"},
                                        {"worker", command.worker.Text()}});
+      this->authority.ConfirmByWitness(witness, highest.value(), sent_at, now);
     }
     this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, now);
     return;
@@ -220,8 +235,7 @@
     this->scheduler.HandleFailure(command.worker, verdict, now);
     return;
   }
-  auto& last = this->confirmed[command.worker];
-  last = std::max(last, sent_at);
+  this->authority.ConfirmByWitness(witness, this->CurrentEpoch(), sent_at, now);
 }
 
 auto ShardRunner::Decode(const WorkerCommand& command,
--- a/apps/sched/shard_runner.h
+++ b/apps/sched/shard_runner.h
@@ -11,6 +11,7 @@
 #include "daemon/host_poller.h"
 #include "daemon/log_view.h"
 #include "http/client.h"
+#include "membership/authority.h"
 #include "scheduling/shard_scheduler.h"
 
 namespace shallotbank::sched {
@@ -28,7 +29,11 @@
     Metrics& metrics;
   };
 
-  ShardRunner(ShardId shard, std::int64_t number, Epoch epoch, Context context);
+  ShardRunner(ShardId shard,
+              std::int64_t number,
+              Epoch epoch,
+              bool is_takeover,
+              Context context);
 
   /// Takes the unfinished jobs of the log. Call once, before anything else.
   auto Load(TimePoint now) -> void;
@@ -45,12 +50,11 @@
   }
   /// Until when this process may act as owner.
   auto AuthorityUntil() const -> TimePoint;
-  /// A worker has seen a newer epoch.
-  auto IsFenced() const -> bool { return this->fenced; }
   /// Stops starting work, before the shard is released.
   auto Drain() -> void { this->draining = true; }
 
  private:
+  auto EpochInForce() const -> Epoch;
   auto AddJob(const journal::Job& job, TimePoint now) -> void;
   auto UpdatePolicy() -> void;
   auto Send(const scheduling::WorkerCommand& command) -> void;
@@ -72,13 +76,10 @@
   std::int64_t number;
   Context context;
   scheduling::ShardScheduler scheduler;
-  std::map<WorkerId, TimePoint> confirmed;  // Send time of the last answer.
+  membership::Authority authority;  // The workers are its witnesses.
+  std::set<WorkerId> witnesses;
   std::set<JobId> finishing;
-  bool fenced = false;
   bool draining = false;
 };
 
-/// How long an owner may act after its ownership was confirmed.
-inline constexpr std::chrono::seconds kAuthority{3};
-
 }  // namespace shallotbank::sched
--- a/apps/sched/specifications.cc
+++ b/apps/sched/specifications.cc
@@ -74,15 +74,23 @@
                     std::int64_t shards)
     -> std::vector<scheduling::ListedWorker> {
   std::vector<scheduling::ListedWorker> result;
-  for (const auto& [name, host] : hosts.Hosts()) {
-    const auto owner =
-        StableHash(host.rack.Text()) %
-        static_cast<std::uint64_t>(std::max<std::int64_t>(shards, 1));
+  const auto count =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(shards, 1));
+  auto add = [&](const platform::Host& host, bool is_gone) {
+    const auto owner = StableHash(host.rack.Text()) % count;
     if (host.role == platform::HostRole::kWorker &&
         owner == static_cast<std::uint64_t>(shard)) {
-      result.push_back({{WorkerId(name), host.domain, host.rack, host.capacity},
-                        host.is_leaving});
+      result.push_back(
+          {{WorkerId(host.name), host.domain, host.rack, host.capacity},
+           host.is_leaving,
+           is_gone});
     }
+  };
+  for (const auto& [name, host] : hosts.Hosts()) {
+    add(host, /*is_gone=*/false);
+  }
+  for (const auto& [name, gone] : hosts.Gone()) {
+    add(gone.host, /*is_gone=*/true);
   }
   return result;
 }
@@ -105,7 +113,7 @@
     policy.organisations.push_back(std::move(entry));
   }
   for (const auto& worker : workers) {
-    policy.capacity += worker.worker.capacity;
+    policy.capacity += worker.is_gone ? Resources() : worker.worker.capacity;
   }
   const auto& weights = configuration.GetPolicy();
   policy.scoring.waiting_weight = static_cast<double>(weights.waiting_weight);
--- a/libs/daemon/include/daemon/common_settings.h
+++ b/libs/daemon/include/daemon/common_settings.h
@@ -40,6 +40,9 @@
 auto ReadCommonSettings(const Settings& settings)
     -> boost::leaf::result<CommonSettings>;
 
+/// A number that is larger for a later start of a process.
+auto MakeIncarnation() -> std::uint64_t;
+
 /// An id for this start of this process.
 auto MakeProcessId(const std::string& host, const std::string& role)
     -> ProcessId;
--- a/libs/daemon/include/daemon/core_loop.h
+++ b/libs/daemon/include/daemon/core_loop.h
@@ -2,7 +2,9 @@
 
 #include <atomic>
 #include <cstddef>
+#include <deque>
 #include <functional>
+#include <thread>
 
 #include "base/bounded_ring.h"
 #include "base/clock.h"
@@ -21,7 +23,8 @@
   auto Post(Work work) -> bool { return this->ring.TryPush(std::move(work)); }
 
   /// Like Post, but waits while the ring is full. For results that must not be
-  /// lost; never to be called on the loop's own thread or on the HTTP edge.
+  /// lost; never to be called on the HTTP edge. On the loop's own thread the
+  /// work is put aside without waiting.
   auto PostAndWait(Work work) -> void;
 
   /// Runs posted work and `tick` every `interval` until Stop, and then what is
@@ -30,7 +33,11 @@
   auto Stop() -> void { this->stopping = true; }
 
  private:
+  auto RunOwnWork() -> void;
+
   BoundedRing<Work> ring;
+  std::deque<Work> own_work;  // Posted by the loop's own thread.
+  std::atomic<std::thread::id> thread;
   std::atomic<bool> stopping{false};
 };
 
--- a/libs/daemon/include/daemon/peer_hub.h
+++ b/libs/daemon/include/daemon/peer_hub.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/metrics.h"
 #include "daemon/core_loop.h"
+#include "membership/peer_table.h"
 #include "rpc/peer_client.h"
 #include "rpc/peer_server.h"
 
@@ -23,13 +24,9 @@
   /// RPC addresses of other daemons, from the settings. Others become known
   /// when they call.
   std::vector<std::string> seeds;
-  Duration heartbeat_interval = std::chrono::milliseconds(200);
+  Duration seed_interval = std::chrono::milliseconds(250);
   /// A heartbeat that is not answered within this time has failed.
   Duration heartbeat_timeout = std::chrono::seconds(1);
-  /// A peer without a word for this long is suspected.
-  Duration suspicion_after = std::chrono::seconds(1);
-  /// A suspected peer is forgotten after this time.
-  Duration forget_after = std::chrono::minutes(10);
 };
 
 /// What is known of another daemon.
@@ -37,6 +34,7 @@
   rpc::PeerState state;
   std::string address;
   TimePoint last_heard;
+  /// Suspected or departed; may be wrong.
   bool is_suspected = false;
 };
 
@@ -62,7 +60,10 @@
     std::function<void(const PeerInfo&)> heard;
   };
 
-  PeerHub(PeerHubOptions options, CoreLoop& loop, Metrics& metrics);
+  PeerHub(ProcessId self,
+          PeerHubOptions options,
+          CoreLoop& loop,
+          Metrics& metrics);
   ~PeerHub();
 
   /// Listens. Errors: `rpc::ListenError`.
@@ -76,7 +77,8 @@
     return this->peers;
   }
   auto Find(const ProcessId& process) const -> const PeerInfo*;
-  auto IsAlive(const ProcessId& process) const -> bool;
+  /// Liveness of the peers and freshness of the view of the log.
+  auto Table() -> membership::PeerTable& { return this->table; }
 
   /// Calls a peer; `done` runs on the core loop.
   template <typename Request>
@@ -98,7 +100,8 @@
  private:
   class Dispatcher;
 
-  auto Heard(const rpc::PeerState& state) -> void;
+  auto Heard(const rpc::PeerState& state, TimePoint now) -> void;
+  auto UpdateSuspicion(TimePoint now) -> void;
   auto SendHeartbeat(const std::string& address) -> void;
 
   PeerHubOptions options;
@@ -106,8 +109,9 @@
   Metrics& metrics;
   Handlers handlers;
   std::map<ProcessId, PeerInfo> peers;
+  membership::PeerTable table;
   std::map<std::string, bool> heartbeat_open;
-  TimePoint next_heartbeat;
+  TimePoint next_seeds;
   std::unique_ptr<Dispatcher> dispatcher;
   rpc::PeerClient client;
   std::unique_ptr<rpc::PeerServer> server;
--- a/libs/daemon/src/common_settings.cc
+++ b/libs/daemon/src/common_settings.cc
@@ -92,6 +92,13 @@
   return result;
 }
 
+auto MakeIncarnation() -> std::uint64_t {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(since_epoch)
+          .count());
+}
+
 auto MakeProcessId(const std::string& host, const std::string& role)
     -> ProcessId {
   std::random_device random;
--- a/libs/daemon/src/core_loop.cc
+++ b/libs/daemon/src/core_loop.cc
@@ -1,11 +1,14 @@
 #include "daemon/core_loop.h"
 
 #include <algorithm>
-#include <thread>
 
 namespace shallotbank::daemon {
 
 auto CoreLoop::PostAndWait(Work work) -> void {
+  if (std::this_thread::get_id() == this->thread) {
+    this->own_work.push_back(std::move(work));
+    return;
+  }
   while (!this->ring.TryPush(std::move(work))) {
     if (this->ring.IsClosed()) {
       return;
@@ -16,6 +19,7 @@
 
 auto CoreLoop::Run(Duration interval, const Work& tick) -> void {
   const SystemClock clock;
+  this->thread = std::this_thread::get_id();
   auto next_tick = clock.Now() + interval;
   while (!this->stopping) {
     const auto now = clock.Now();
@@ -23,6 +27,7 @@
       tick();
       next_tick = clock.Now() + interval;
     }
+    this->RunOwnWork();
     const auto wait = std::max(next_tick - clock.Now(), Duration::zero());
     if (const auto work = this->ring.Pop(wait)) {
       (*work)();
@@ -32,6 +37,15 @@
   while (const auto work = this->ring.TryPop()) {
     (*work)();
   }
+  this->RunOwnWork();
+}
+
+auto CoreLoop::RunOwnWork() -> void {
+  while (!this->own_work.empty()) {
+    const auto work = std::move(this->own_work.front());
+    this->own_work.pop_front();
+    work();
+  }
 }
 
 }  // namespace shallotbank::daemon
--- a/libs/daemon/src/host_poller.cc
+++ b/libs/daemon/src/host_poller.cc
@@ -45,7 +45,8 @@
     this->metrics.Add("host_list_failures_total");
     return;
   }
-  if (this->table.Update(std::move(hosts.value())) && this->changed) {
+  if (this->table.Update(std::move(hosts.value()), SystemClock().Now()) &&
+      this->changed) {
     this->changed();
   }
 }
--- a/libs/daemon/src/peer_hub.cc
+++ b/libs/daemon/src/peer_hub.cc
@@ -5,6 +5,24 @@
 #include "base/log.h"
 
 namespace shallotbank::daemon {
+namespace {
+
+auto ToHeartbeat(const rpc::PeerState& state) -> membership::Heartbeat {
+  membership::Heartbeat heartbeat;
+  heartbeat.from = {.id = state.process,
+                    .incarnation = state.incarnation,
+                    .host = state.host,
+                    .addresses = {state.rpc_address},
+                    .domain = state.failure_domain};
+  heartbeat.head = state.log_head;
+  heartbeat.log_age = state.log_age;
+  for (const auto& owned : state.owned) {
+    heartbeat.epochs.push_back({owned.resource, owned.epoch});
+  }
+  return heartbeat;
+}
+
+}  // namespace
 
 // Hands calls from the RPC thread to the core loop.
 class PeerHub::Dispatcher {
@@ -16,7 +34,10 @@
     this->Post(
         [&hub = this->hub](rpc::HeartbeatRequest& heartbeat,
                            rpc::Reply<rpc::HeartbeatResponse>& answer) {
-          hub.Heard(heartbeat.sender);
+          const auto now = SystemClock().Now();
+          if (hub.table.Receive(ToHeartbeat(heartbeat.sender), now)) {
+            hub.Heard(heartbeat.sender, now);
+          }
           answer.Send({hub.handlers.describe_self()});
         },
         std::move(request), std::move(reply));
@@ -90,10 +111,14 @@
   PeerHub& hub;
 };
 
-PeerHub::PeerHub(PeerHubOptions options, CoreLoop& loop, Metrics& metrics)
+PeerHub::PeerHub(ProcessId self,
+                 PeerHubOptions options,
+                 CoreLoop& loop,
+                 Metrics& metrics)
     : options(std::move(options)),
       loop(loop),
       metrics(metrics),
+      table(std::move(self)),
       dispatcher(std::make_unique<Dispatcher>(*this)),
       client(rpc::PeerClientOptions{.metrics = &metrics}) {}
 
@@ -128,20 +153,12 @@
   return found == this->peers.end() ? nullptr : &found->second;
 }
 
-auto PeerHub::IsAlive(const ProcessId& process) const -> bool {
-  const auto* peer = this->Find(process);
-  return peer != nullptr && !peer->is_suspected;
-}
-
-auto PeerHub::Heard(const rpc::PeerState& state) -> void {
-  if (state.process.IsEmpty()) {
-    return;
-  }
+auto PeerHub::Heard(const rpc::PeerState& state, TimePoint now) -> void {
   auto& peer = this->peers[state.process];
   const bool was_new = peer.address.empty();
   peer.state = state;
   peer.address = state.rpc_address;
-  peer.last_heard = SystemClock().Now();
+  peer.last_heard = now;
   if (peer.is_suspected || was_new) {
     peer.is_suspected = false;
     LogEvent(Event::kPeerAlive, {{"peer", state.process.Text()}});
@@ -151,33 +168,42 @@
   }
 }
 
-auto PeerHub::Tick(TimePoint now) -> void {
+auto PeerHub::UpdateSuspicion(TimePoint now) -> void {
   for (auto it = this->peers.begin(); it != this->peers.end();) {
-    auto& peer = it->second;
-    if (!peer.is_suspected &&
-        now - peer.last_heard > this->options.suspicion_after) {
+    auto& [process, peer] = *it;
+    const auto state = this->table.State(process, now);
+    const bool is_alive = state == membership::PeerState::kAlive;
+    if (!is_alive && !peer.is_suspected) {
       peer.is_suspected = true;
       this->metrics.Add("peers_suspected_total");
-      LogEvent(Event::kPeerSuspected, {{"peer", it->first.Text()}});
+      LogEvent(Event::kPeerSuspected, {{"peer", process.Text()}});
     }
-    if (now - peer.last_heard > this->options.forget_after) {
-      it = this->peers.erase(it);
-    } else {
-      ++it;
+    const bool has_departed =
+        !state || *state == membership::PeerState::kDeparted;
+    it = has_departed ? this->peers.erase(it) : std::next(it);
+  }
+}
+
+auto PeerHub::Tick(TimePoint now) -> void {
+  this->UpdateSuspicion(now);
+  std::set<std::string> known;
+  for (const auto& [process, peer] : this->peers) {
+    known.insert(peer.address);
+  }
+  for (const auto& process : this->table.DueHeartbeats(now)) {
+    if (const auto* peer = this->Find(process)) {
+      this->table.Sent(process, now);
+      this->SendHeartbeat(peer->address);
     }
   }
-  if (now < this->next_heartbeat) {
+  if (now < this->next_seeds) {
     return;
   }
-  this->next_heartbeat = now + this->options.heartbeat_interval;
-  std::set<std::string> addresses(this->options.seeds.begin(),
-                                  this->options.seeds.end());
-  for (const auto& [process, peer] : this->peers) {
-    addresses.insert(peer.address);
-  }
-  addresses.erase(this->Address());
-  for (const auto& address : addresses) {
-    this->SendHeartbeat(address);
+  this->next_seeds = now + this->options.seed_interval;
+  for (const auto& seed : this->options.seeds) {
+    if (!known.contains(seed) && seed != this->Address()) {
+      this->SendHeartbeat(seed);
+    }
   }
 }
 
@@ -187,15 +213,20 @@
     return;
   }
   is_open = true;
+  const auto sent = SystemClock().Now();
   this->Call<rpc::HeartbeatRequest>(
       address, {this->handlers.describe_self()},
       this->options.heartbeat_timeout,
-      [this, address](rpc::CallResult<rpc::HeartbeatResponse> result) {
+      [this, address, sent](rpc::CallResult<rpc::HeartbeatResponse> result) {
         this->heartbeat_open[address] = false;
-        if (result.response) {
-          this->Heard(result.response->callee);
-        } else {
+        if (!result.response) {
           this->metrics.Add("peer_heartbeats_failed_total", result.reason);
+          return;
+        }
+        const auto now = SystemClock().Now();
+        const auto& callee = result.response->callee;
+        if (this->table.ReceiveAnswer(ToHeartbeat(callee), sent, now)) {
+          this->Heard(callee, now);
         }
       });
 }
--- a/libs/platform/include/platform/host_list.h
+++ b/libs/platform/include/platform/host_list.h
@@ -7,6 +7,7 @@
 
 #include <boost/leaf.hpp>
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "base/resources.h"
 
@@ -45,15 +46,31 @@
 /// leaving until it has disappeared from a list.
 class HostTable {
  public:
+  /// How long a host that has disappeared is remembered: longer than leases,
+  /// because what it ran counts as running until they have expired.
+  static constexpr std::chrono::minutes kGoneMemory{20};
+
+  struct GoneHost {
+    Host host;
+    TimePoint since;
+  };
+
   /// Replaces the list; returns true if anything changed.
-  auto Update(std::vector<Host> hosts) -> bool;
+  auto Update(std::vector<Host> listed, TimePoint now) -> bool;
+  /// Hosts that have disappeared from the list.
+  auto Gone() const -> const std::map<std::string, GoneHost>& {
+    return this->gone;
+  }
   auto Hosts() const -> const std::map<std::string, Host>& {
     return this->hosts;
   }
+  /// The host, also if it has disappeared from the list; or null.
+  auto FindOrGone(const std::string& name) const -> const Host*;
   auto IsEmpty() const -> bool { return this->hosts.empty(); }
 
  private:
   std::map<std::string, Host> hosts;
+  std::map<std::string, GoneHost> gone;
 };
 
 }  // namespace shallotbank::platform
--- a/libs/platform/src/host_list.cc
+++ b/libs/platform/src/host_list.cc
@@ -74,7 +74,7 @@
   return hosts;
 }
 
-auto HostTable::Update(std::vector<Host> listed) -> bool {
+auto HostTable::Update(std::vector<Host> listed, TimePoint now) -> bool {
   std::map<std::string, Host> updated;
   for (auto& host : listed) {
     const auto known = this->hosts.find(host.name);
@@ -83,9 +83,27 @@
     }
     updated[host.name] = std::move(host);
   }
+  for (const auto& [name, host] : this->hosts) {
+    if (!updated.contains(name)) {
+      this->gone[name] = {host, now};
+    }
+  }
+  std::erase_if(this->gone, [&updated, now](const auto& entry) {
+    return updated.contains(entry.first) ||
+           now - entry.second.since > kGoneMemory;
+  });
   const bool changed = updated != this->hosts;
   this->hosts = std::move(updated);
   return changed;
 }
 
+auto HostTable::FindOrGone(const std::string& name) const -> const Host* {
+  const auto listed = this->hosts.find(name);
+  if (listed != this->hosts.end()) {
+    return &listed->second;
+  }
+  const auto former = this->gone.find(name);
+  return former == this->gone.end() ? nullptr : &former->second.host;
+}
+
 }  // namespace shallotbank::platform
--- a/libs/worker_protocol/include/worker_protocol/worker_protocol.h
+++ b/libs/worker_protocol/include/worker_protocol/worker_protocol.h
@@ -64,4 +64,8 @@
 auto DecodeStartResults(std::string_view body)
     -> boost::leaf::result<std::vector<TaskStartResult>>;
 
+/// The highest epoch that a worker has seen, from its refusal of an old one.
+/// Errors: `WorkerProtocolError`.
+auto DecodeHighestEpoch(std::string_view body) -> boost::leaf::result<Epoch>;
+
 }  // namespace shallotbank::worker_protocol
--- a/libs/worker_protocol/src/worker_protocol.cc
+++ b/libs/worker_protocol/src/worker_protocol.cc
@@ -149,4 +149,13 @@
   return results;
 }
 
+auto DecodeHighestEpoch(std::string_view body) -> leaf::result<Epoch> {
+  const auto document = json::parse(body, nullptr, false);
+  if (!document.is_object() || !document.contains("epoch") ||
+      !document["epoch"].is_number_unsigned()) {
+    return Malformed("a refusal needs the highest epoch");
+  }
+  return document["epoch"].get<Epoch>();
+}
+
 }  // namespace shallotbank::worker_protocol
