--- a/libs/journal/src/writer_table.cc
+++ b/libs/journal/src/writer_table.cc
@@ -31,9 +31,12 @@
     this->log_time = std::max(this->log_time, candidate);
   }
   // The clock of the writer was set, in either direction: start over from here.
-  if (step > kMaxStep || at < writer.latest) {
+  // A smaller step back is a batch that was overtaken by a later one.
+  if (step > kMaxStep || writer.latest - at > kMaxStep) {
     writer.behind_log = this->log_time - at;
+    writer.latest = at;
   }
+  writer.latest = std::max(writer.latest, at);
 }
 
 auto WriterTable::Observe(const ProcessId& writer,
@@ -55,7 +58,6 @@
   }
   entry.seen.Insert(sequence);
   this->AdvanceLogTime(entry, at);
-  entry.latest = at;
   entry.last_seen = this->log_time;
   return true;
 }
