--- a/apps/entry/entry_daemon.cc
+++ b/apps/entry/entry_daemon.cc
@@ -54,6 +54,7 @@
       claimer(
           this->process,
           rpc::Role::kEntry,
+          ownership::ClaimPlanner::Balance::kEven,
           this->log,
           this->peers,
           {.gained =
@@ -65,6 +66,15 @@
                [this](const ResourceId& group) {
                  this->groups.Lost(group);
                  this->requests.GroupLost(group);
+               },
+           .drain =
+               [this](const ResourceId& group) {
+                 this->groups.Drain(group);
+                 this->requests.GroupLost(group);
+               },
+           .is_idle =
+               [this](const ResourceId& group) {
+                 return this->requests.IsIdle(group);
                }}),
       server({.address = this->settings.http.address,
               .port = this->settings.http.port,
@@ -274,8 +284,10 @@
              {{"open", std::to_string(this->server.OpenRequests())},
               {"appends", std::to_string(this->log.OpenAppends())}});
   }
-  if (is_late || (this->is_released && this->log.OpenAppends() == 0 &&
-                  this->server.OpenRequests() == 0)) {
+  const bool is_done = this->is_released && this->claimer.Owned().empty() &&
+                       this->log.OpenAppends() == 0 &&
+                       this->server.OpenRequests() == 0;
+  if (is_late || is_done) {
     this->loop.Stop();
   }
 }
--- a/apps/entry/minion_groups.cc
+++ b/apps/entry/minion_groups.cc
@@ -52,7 +52,7 @@
   for (const auto* peer : this->EntryPeers()) {
     witnesses.push_back(ToWitness(peer->state.process));
   }
-  Group group{epoch, is_takeover,
+  Group group{epoch, is_takeover, /*is_draining=*/false,
               membership::Authority(epoch, witnesses, is_takeover),
               this->context.log.State()
                   ->Configuration()
@@ -69,6 +69,13 @@
   this->owned.erase(group);
 }
 
+auto MinionGroups::Drain(const ResourceId& id) -> void {
+  const auto found = this->owned.find(id);
+  if (found != this->owned.end()) {
+    found->second.is_draining = true;
+  }
+}
+
 auto MinionGroups::Witness(const ResourceId& id, Epoch epoch) -> Epoch {
   auto& highest = this->highest_seen[id];
   highest = std::max(highest, epoch);
@@ -183,7 +190,7 @@
   std::vector<routing::MinionGroup> usable;
   for (const auto& [id, group] : this->owned) {
     const auto usable_from = this->UsableFrom(group);
-    if (!usable_from || now < *usable_from) {
+    if (group.is_draining || !usable_from || now < *usable_from) {
       continue;
     }
     routing::MinionGroup entry;
--- a/apps/entry/minion_groups.h
+++ b/apps/entry/minion_groups.h
@@ -25,6 +25,8 @@
               bool is_takeover,
               TimePoint now) -> void;
   auto Lost(const ResourceId& group) -> void;
+  /// The group gets nothing new from now on.
+  auto Drain(const ResourceId& group) -> void;
   /// Notes that `epoch` exists and returns the highest one seen.
   auto Witness(const ResourceId& group, Epoch epoch) -> Epoch;
   /// Asks the witnesses where the log alone does not confirm the ownership.
@@ -39,6 +41,7 @@
   struct Group {
     Epoch epoch = 0;
     bool is_takeover = false;
+    bool is_draining = false;
     membership::Authority authority;
     Duration longest_request{};
   };
--- a/apps/entry/request_service.cc
+++ b/apps/entry/request_service.cc
@@ -251,6 +251,13 @@
   this->Execute(this->router.RemoveGroup(group, SystemClock().Now()));
 }
 
+auto RequestService::IsIdle(const ResourceId& group) const -> bool {
+  const auto minions = this->groups.Minions();
+  return std::all_of(minions.begin(), minions.end(), [&](const auto& minion) {
+    return minion.group != group || this->router.InUse(minion.id) == 0;
+  });
+}
+
 auto RequestService::Tick(TimePoint now) -> void {
   for (const auto& group : this->groups.Usable(now)) {
     this->Execute(this->router.SetGroup(group, now));
--- a/apps/entry/request_service.h
+++ b/apps/entry/request_service.h
@@ -27,6 +27,8 @@
                        rpc::Reply<rpc::ForwardResponse> reply) -> void;
   auto HandleHosts(TimePoint now) -> void;
   auto HandlePeer(const daemon::PeerInfo& peer) -> void;
+  /// No request of this process runs on a minion of the group.
+  auto IsIdle(const ResourceId& group) const -> bool;
   auto GroupLost(const ResourceId& group) -> void;
   auto Tick(TimePoint now) -> void;
 
--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -44,6 +44,7 @@
             this->metrics),
       claimer(this->process,
               rpc::Role::kSched,
+              ownership::ClaimPlanner::Balance::kKeep,
               this->log,
               this->peers,
               {.gained =
@@ -55,7 +56,15 @@
                .lost =
                    [this](const ResourceId& resource) {
                      this->runners.erase(resource);
-                   }}),
+                   },
+               .drain =
+                   [this](const ResourceId& resource) {
+                     if (const auto found = this->runners.find(resource);
+                         found != this->runners.end()) {
+                       found->second->Drain();
+                     }
+                   },
+               .is_idle = [](const ResourceId&) { return true; }}),
       server({.address = this->settings.http.address,
               .port = this->settings.http.port,
               .threads = 1,
@@ -215,11 +224,13 @@
     this->is_released = true;
     this->claimer.ReleaseAll();
   }
+  const bool is_done = this->is_released && this->claimer.Owned().empty() &&
+                       this->log.OpenAppends() == 0;
   if (is_late) {
     LogEvent(Event::kDrainDeadlinePassed,
              {{"appends", std::to_string(this->log.OpenAppends())}});
   }
-  if (is_late || (this->is_released && this->log.OpenAppends() == 0)) {
+  if (is_late || is_done) {
     this->loop.Stop();
   }
 }
--- a/libs/daemon/src/resource_claimer.cc
+++ b/libs/daemon/src/resource_claimer.cc
@@ -1,28 +1,19 @@
 #include "daemon/resource_claimer.h"
 
 #include "base/log.h"
-#include "configuration/configuration.h"
 
 namespace shallotbank::daemon {
 namespace {
 
-// Peers get this long to be heard after the start of this process.
-constexpr std::chrono::milliseconds kStartGrace{1500};
-// Processes of lower preference wait, so that they rarely race for a claim.
-constexpr std::chrono::milliseconds kDelayPerRank{150};
 // A claim needs a view of the log that is at least this recent.
 constexpr std::chrono::seconds kFreshView{1};
-constexpr std::chrono::seconds kClaimTimeout{5};
-
-auto Preference(const ResourceId& resource, const ProcessId& process)
-    -> std::string {
-  return configuration::Sha256Hex(resource.Text() + " " + process.Text());
-}
+constexpr std::chrono::seconds kAppendTimeout{5};
 
 }  // namespace
 
 ResourceClaimer::ResourceClaimer(ProcessId process,
                                  rpc::Role role,
+                                 ownership::ClaimPlanner::Balance balance,
                                  LogView& log,
                                  PeerHub& peers,
                                  Events events)
@@ -31,11 +22,12 @@
       log(log),
       peers(peers),
       events(std::move(events)),
-      started_at(SystemClock().Now()) {}
+      planner(this->process, balance) {}
 
-auto ResourceClaimer::SetResources(const std::vector<ResourceId>& wanted)
+auto ResourceClaimer::SetResources(const std::vector<ResourceId>& list)
     -> void {
-  for (const auto& id : wanted) {
+  this->wanted = list;
+  for (const auto& id : list) {
     this->resources.try_emplace(id);
   }
 }
@@ -47,20 +39,30 @@
   }
   for (auto& [id, resource] : this->resources) {
     this->Update(id, resource);
-    const auto* ownership = state->Claims().Find(id);
-    if (resource.own_epoch != 0 || resource.is_claiming || this->releasing ||
-        !this->IsClaimable(ownership, now)) {
-      resource.claimable_since = TimePoint();
-      continue;
-    }
-    if (resource.claimable_since == TimePoint()) {
-      resource.claimable_since = now;
-    }
-    if (now >= resource.claimable_since + this->Rank(id) * kDelayPerRank &&
-        now - this->log.LastGoodRead() < kFreshView) {
-      this->Claim(id, resource);
+    this->ReleaseIfIdle(id, resource);
+  }
+  if (this->releasing || now - this->log.LastGoodRead() > kFreshView) {
+    return;
+  }
+  const auto processes = this->Processes();
+  const auto decision =
+      this->planner.Plan({this->wanted, state->Claims(), processes}, now);
+  for (const auto& step : decision.claims) {
+    this->Claim(step.resource, step.epoch);
+  }
+  for (const auto& step : decision.releases) {
+    this->Drain(step.resource);
+  }
+}
+
+auto ResourceClaimer::Processes() const -> std::vector<ownership::Process> {
+  std::vector<ownership::Process> processes{{this->process, false}};
+  for (const auto& [id, peer] : this->peers.Peers()) {
+    if (peer.state.role == this->role) {
+      processes.push_back({id, peer.is_suspected});
     }
   }
+  return processes;
 }
 
 auto ResourceClaimer::Update(const ResourceId& id, Resource& resource) -> void {
@@ -72,8 +74,12 @@
     return;
   }
   if (resource.own_epoch != 0) {
+    LogEvent(resource.is_release_sent ? Event::kOwnershipReleased
+                                      : Event::kOwnershipLost,
+             {{"resource", id.Text()}});
     resource.own_epoch = 0;
-    LogEvent(Event::kOwnershipLost, {{"resource", id.Text()}});
+    resource.is_draining = false;
+    resource.is_release_sent = false;
     this->events.lost(id);
   }
   if (epoch != 0) {
@@ -84,58 +90,51 @@
   }
 }
 
-auto ResourceClaimer::IsClaimable(const journal::Ownership* ownership,
-                                  TimePoint now) const -> bool {
-  if (ownership == nullptr) {
-    return true;
-  }
-  const auto* peer = this->peers.Find(ownership->owner);
-  if (peer != nullptr) {
-    return peer->is_suspected;
-  }
-  return now - this->started_at > kStartGrace;
-}
-
-auto ResourceClaimer::Rank(const ResourceId& id) const -> int {
-  const auto own = Preference(id, this->process);
-  int rank = 0;
-  for (const auto& [peer, info] : this->peers.Peers()) {
-    const bool is_rival = info.state.role == this->role && !info.is_suspected &&
-                          !info.state.draining;
-    rank += is_rival && Preference(id, peer) < own ? 1 : 0;
-  }
-  return rank;
-}
-
-auto ResourceClaimer::Claim(const ResourceId& id, Resource& resource) -> void {
-  resource.is_claiming = true;
+auto ResourceClaimer::Claim(const ResourceId& id, Epoch supersedes) -> void {
   this->open_appends++;
-  const auto supersedes = this->log.State()->Claims().EpochOf(id);
-  resource.superseded = supersedes;
+  this->resources[id].superseded = supersedes;
   LogEvent(Event::kClaimAppended, {{"resource", id.Text()},
                                    {"supersedes", std::to_string(supersedes)}});
   this->log.Append({journal::Claim{.resource = id,
                                    .owner = this->process,
                                    .supersedes = supersedes,
                                    .addresses = {this->peers.Address()}}},
-                   SystemClock().Now() + kClaimTimeout,
-                   [this, id](const RecordedResult&) {
+                   SystemClock().Now() + kAppendTimeout,
+                   [this](const RecordedResult&) { this->open_appends--; });
+}
+
+auto ResourceClaimer::Drain(const ResourceId& id) -> void {
+  auto& resource = this->resources[id];
+  if (resource.own_epoch != 0 && !resource.is_draining) {
+    resource.is_draining = true;
+    this->events.drain(id);
+  }
+}
+
+// A released resource is used by its next owner at once, so nothing of this
+// process may still be in progress.
+auto ResourceClaimer::ReleaseIfIdle(const ResourceId& id, Resource& resource)
+    -> void {
+  if (!resource.is_draining || resource.is_release_sent ||
+      !this->events.is_idle(id)) {
+    return;
+  }
+  resource.is_release_sent = true;
+  this->open_appends++;
+  this->log.Append({journal::Release{id, this->process, resource.own_epoch}},
+                   SystemClock().Now() + kAppendTimeout,
+                   [this, id](const RecordedResult& result) {
                      this->open_appends--;
-                     this->resources[id].is_claiming = false;
+                     if (result.verdict == Verdict::kNotRun) {
+                       this->resources[id].is_release_sent = false;
+                     }
                    });
 }
 
 auto ResourceClaimer::ReleaseAll() -> void {
   this->releasing = true;
   for (const auto& [id, resource] : this->resources) {
-    if (resource.own_epoch == 0) {
-      continue;
-    }
-    this->open_appends++;
-    LogEvent(Event::kOwnershipReleased, {{"resource", id.Text()}});
-    this->log.Append({journal::Release{id, this->process, resource.own_epoch}},
-                     SystemClock().Now() + kClaimTimeout,
-                     [this](const RecordedResult&) { this->open_appends--; });
+    this->Drain(id);
   }
 }
 
