--- a/tests/system/path_test.cc
+++ b/tests/system/path_test.cc
@@ -38,10 +38,6 @@
   const char* field;
 };
 
-auto operator<<(std::ostream& out, const BadInput& c) -> std::ostream& {
-  return out << c.name;
-}
-
 // Guards against bad input that is accepted, changes something, or gets an
 // answer that does not say what was wrong.
 BOOST_AUTO_TEST_CASE(BadInputIsRefusedAndNamed) {
