--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-SchedDaemon::SchedDaemon(daemon::CommonSettings given)
+SchedDaemon::SchedDaemon(daemon::CommonSettings given, Duration log_retention)
     : settings(std::move(given)),
       process(daemon::MakeProcessId(this->settings.host, "sched")),
       log({.stream_url = this->settings.stream_url, .process = this->process},
@@ -65,6 +65,7 @@
                      }
                    },
                .is_idle = [](const ResourceId&) { return true; }}),
+      snapshots(log_retention, this->log, this->metrics),
       server({.address = this->settings.http.address,
               .port = this->settings.http.port,
               .threads = 1,
@@ -169,6 +170,9 @@
   for (const auto& [resource, runner] : this->runners) {
     runner->Tick(now);
   }
+  if (this->RunnerOf(configuration::ShardAt(0)) != nullptr) {
+    this->snapshots.Tick(now);
+  }
   this->CheckStop(now);
 }
 
--- a/apps/sched/sched_daemon.h
+++ b/apps/sched/sched_daemon.h
@@ -11,6 +11,7 @@
 #include "daemon/log_view.h"
 #include "daemon/peer_hub.h"
 #include "daemon/resource_claimer.h"
+#include "daemon/snapshot_writer.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "shard_runner.h"
@@ -20,7 +21,7 @@
 /// The scheduler daemon of one entry host.
 class SchedDaemon {
  public:
-  explicit SchedDaemon(daemon::CommonSettings settings);
+  SchedDaemon(daemon::CommonSettings settings, Duration log_retention);
 
   /// Runs until a stop signal; returns the exit code.
   auto Run() -> int;
@@ -55,6 +56,7 @@
   daemon::PeerHub peers;
   daemon::ResourceClaimer claimer;
   std::map<ResourceId, std::shared_ptr<ShardRunner>> runners;
+  daemon::SnapshotWriter snapshots;
   http::Server server;
   TimePoint stop_requested_at;
   std::atomic<bool> is_stopping{false};
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -21,6 +21,7 @@
   kLogReachable = 2002,
   kLogRecordsExpired = 2003,
   kLogRecordInvalid = 2004,
+  kSnapshotWritten = 2005,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -34,6 +34,7 @@
     EventEntry{Event::kLogReachable, Severity::kInfo, "log-reachable"},
     EventEntry{Event::kLogRecordsExpired, Severity::kWarning, "log-records-expired"},
     EventEntry{Event::kLogRecordInvalid, Severity::kError, "log-record-invalid"},
+    EventEntry{Event::kSnapshotWritten, Severity::kInfo, "snapshot-written"},
     EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
     EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
     EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
--- a/tests/system/cell.cc
+++ b/tests/system/cell.cc
@@ -188,7 +188,8 @@
       "--peers",     peers};
   auto sched = common;
   sched.insert(sched.end(),
-               {"--rpc", "127.0.0.1:" + std::to_string(host.sched_rpc)});
+               {"--rpc", "127.0.0.1:" + std::to_string(host.sched_rpc),
+                "--log-retention", this->log_retention});
   auto entry = common;
   entry.insert(
       entry.end(),
--- a/tests/system/cell.h
+++ b/tests/system/cell.h
@@ -76,6 +76,7 @@
   standins::MinionStandin minions;
   http::Client client;
   std::vector<EntryHost> hosts;
+  std::string log_retention = "86400s";
 
  private:
   auto ListHosts() -> void;
--- /dev/null
+++ b/tests/system/request_test.cc
@@ -0,0 +1,168 @@
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cell.h"
+
+namespace shallotbank::system_test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against a non-idempotent request that runs again when its caller
+// repeats it through another entry host.
+BOOST_AUTO_TEST_CASE(RepeatThroughAnotherHostRunsOnce) {
+  Cell cell({});
+  BOOST_REQUIRE(cell.Start());
+  const auto first = cell.Request(0, "wear-report", "wr-1", "{\"belts\":3}");
+  BOOST_TEST(first.status == 200);
+  const auto repeated = cell.Request(1, "wear-report", "wr-1", "{\"belts\":3}");
+  BOOST_TEST(repeated.status == 200);
+  BOOST_TEST(repeated.body == first.body);
+  BOOST_REQUIRE(http::FindHeader(repeated.headers, "Shallotbank-Replayed"));
+  const auto other = cell.Request(1, "wear-report", "wr-1", "{\"belts\":4}");
+  BOOST_TEST(other.status == 422);
+  BOOST_TEST(Reason(other) == "request_id_reused");
+  BOOST_TEST(cell.minions.RunsOf("wr-1") == 1U);
+}
+
+// Guards against a non-idempotent request that runs twice when its entry host
+// is killed while the minion works on it.
+BOOST_AUTO_TEST_CASE(EntryHostKilledMidRequest) {
+  Cell cell({.hosts = 3});
+  BOOST_REQUIRE(cell.Start());
+  cell.minions.SetServiceTime(milliseconds(500));
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&cell, i] {
+      cell.Request(0, "wear-report", "kill-" + std::to_string(i), "{}");
+    });
+  }
+  BOOST_TEST(Cell::WaitFor(seconds(5),
+                           [&] { return cell.minions.RunsOf("kill-7") == 1; }));
+  cell.hosts[0].entry->Kill();
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  for (int i = 0; i < 8; ++i) {
+    const auto id = "kill-" + std::to_string(i);
+    const auto reply = cell.Request(1, "wear-report", id, "{}");
+    BOOST_TEST(reply.status == 409);
+    BOOST_TEST(Execution(reply) == "may-have-run");
+    BOOST_TEST(cell.minions.RunsOf(id) == 1U);
+  }
+}
+
+// Guards against a second run after the minion's answer was lost.
+BOOST_AUTO_TEST_CASE(LostMinionAnswersAreNotRetried) {
+  Cell cell({});
+  BOOST_REQUIRE(cell.Start());
+  standins::Faults faults;
+  faults.lose_answers = 1;
+  for (int i = 0; i < 6; ++i) {
+    cell.minions.SetFaults("m" + std::to_string(i), faults);
+  }
+  const auto reply = cell.Request(0, "wear-report", "lost-1", "{}");
+  BOOST_TEST(reply.status == 504);
+  BOOST_TEST(Execution(reply) == "may-have-run");
+  BOOST_TEST(cell.minions.RunsOf("lost-1") == 1U);
+}
+
+// Guards against a planned stop that cuts requests.
+BOOST_AUTO_TEST_CASE(PlannedStopCutsNothing) {
+  Cell cell({.hosts = 3});
+  BOOST_REQUIRE(cell.Start());
+  cell.minions.SetServiceTime(milliseconds(150));
+  std::atomic<int> cut{0};
+  std::atomic<int> answered{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      // Like the balancer, callers stay away once the health check fails.
+      while (cell.Call(0, "GET", "/healthz", "").status == 200) {
+        const auto reply = cell.Request(0, "quote", "", "{}");
+        const bool is_whole = reply.verdict == Verdict::kRan;
+        (is_whole ? answered : cut)++;
+      }
+    });
+  }
+  std::this_thread::sleep_for(seconds(1));
+  cell.hosts[0].entry->Signal(SIGTERM);
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  const auto code = cell.hosts[0].entry->WaitForExit(seconds(15));
+  BOOST_REQUIRE(code.has_value());
+  BOOST_TEST(*code == 0);
+  BOOST_TEST(cut == 0);
+  BOOST_TEST(answered > 8);
+  // Its minion groups were released, so the others use them at once.
+  BOOST_TEST(Cell::WaitFor(seconds(2), [&] {
+    return cell.Request(1, "quote", "", "{}").status == 200;
+  }));
+}
+
+// Guards against more requests on a minion than it has slots when its owner is
+// killed or paused under load.
+BOOST_AUTO_TEST_CASE(SlotsHoldWhenOwnersFail) {
+  Cell cell({.hosts = 3, .workers = 2, .minions = 2});
+  BOOST_REQUIRE(cell.Start());
+  cell.minions.SetServiceTime(milliseconds(200));
+  std::atomic<bool> done{false};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 36; ++i) {
+    callers.emplace_back([&, i] {
+      while (!done) {
+        cell.Request(static_cast<std::size_t>(i % 3), "quote", "", "{}");
+      }
+    });
+  }
+  std::this_thread::sleep_for(seconds(1));
+  cell.hosts[0].entry->Signal(SIGSTOP);
+  std::this_thread::sleep_for(seconds(6));
+  cell.hosts[0].entry->Signal(SIGCONT);
+  std::this_thread::sleep_for(seconds(1));
+  cell.hosts[1].entry->Kill();
+  std::this_thread::sleep_for(seconds(6));
+  done = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST_MESSAGE(
+      "most requests at once on a minion: " << cell.minions.MostAtOnce());
+  BOOST_TEST(cell.minions.MostAtOnce() <= 8);
+}
+
+// Guards against new work for a minion or worker that the list says leaves.
+BOOST_AUTO_TEST_CASE(LeavingHostsGetNothingNew) {
+  Cell cell({});
+  BOOST_REQUIRE(cell.Start());
+  cell.host_list.SetState("m1", "leaving");
+  cell.host_list.SetState("w1", "leaving");
+  std::this_thread::sleep_for(seconds(3));
+  standins::Faults down;
+  down.down = true;
+  cell.host_list.SetFaults(down);  // Later the list cannot be read any more.
+  const auto count_of = [&cell](const char* minion) {
+    const auto reply =
+        cell.client.SendAndWait({.url = cell.minions.Url() + "/control"});
+    return Body(reply)["runs_by_minion"].value(minion, 0);
+  };
+  const auto before = count_of("m1");
+  for (int i = 0; i < 60; ++i) {
+    cell.Request(i % 2, "quote", "", "{}");
+  }
+  const auto job = cell.Submit(0, "grind", 200, 2000);
+  BOOST_TEST(Cell::WaitFor(
+      seconds(10), [&] { return cell.workers.Observe().running >= 150; }));
+  for (const auto& [task, worker] : cell.workers.RunningTasks()) {
+    BOOST_TEST(worker != "w1");
+  }
+  BOOST_TEST(count_of("m1") == before);
+}
+
+}  // namespace
+}  // namespace shallotbank::system_test
