Test silence, limits, life cycle and malformed input of the rpc library

Connections that go silent, peers that do not read, restarts, shutdown with open calls and malformed bytes must end calls with a true verdict and harm no other peer.

The tests found one fault: ThreadSanitizer reported a race in the static initialisation of the uninstrumented kj library when two event loops start together, so their setup now takes a mutex. ~PeerClient now stops the loop while the object is whole, because a result may start another call. Message fields have default initialisers, so that a caller can name only some.

--- a/libs/rpc/include/rpc/messages.h
+++ b/libs/rpc/include/rpc/messages.h
@@ -15,21 +15,21 @@
 enum class Role { kUnknown, kEntry, kSched };
 
 struct OwnedResource {
-  ResourceId resource;
+  ResourceId resource{};
   Epoch epoch = 0;
 
   auto operator==(const OwnedResource&) const -> bool = default;
 };
 
 struct HeardPeer {
-  ProcessId process;
+  ProcessId process{};
   Duration silence{};  ///< Since its last word; whole milliseconds are sent.
 
   auto operator==(const HeardPeer&) const -> bool = default;
 };
 
 struct FreeSlots {
-  ServiceName service;
+  ServiceName service{};
   std::uint32_t slots = 0;
 
   auto operator==(const FreeSlots&) const -> bool = default;
@@ -37,29 +37,29 @@
 
 /// What a process says about itself in a heartbeat and in its answer.
 struct PeerState {
-  ProcessId process;
+  ProcessId process{};
   std::uint64_t incarnation = 0;
-  std::string host;
+  std::string host{};
   Role role = Role::kUnknown;
-  std::string http_address;  ///< "IP:port".
-  std::string rpc_address;   ///< "IP:port".
-  FailureDomain failure_domain;
+  std::string http_address{};  ///< "IP:port".
+  std::string rpc_address{};   ///< "IP:port".
+  FailureDomain failure_domain{};
   Offset log_head = 0;
   Duration log_age{};  ///< Since the last good log read; whole milliseconds.
-  std::vector<OwnedResource> owned;
-  std::vector<HeardPeer> heard;
+  std::vector<OwnedResource> owned{};
+  std::vector<HeardPeer> heard{};
   bool draining = false;
-  std::vector<FreeSlots> free_slots;
+  std::vector<FreeSlots> free_slots{};
 
   auto operator==(const PeerState&) const -> bool = default;
 };
 
 struct HeartbeatResponse {
-  PeerState callee;
+  PeerState callee{};
 };
 struct HeartbeatRequest {
   using Response = HeartbeatResponse;
-  PeerState sender;
+  PeerState sender{};
 };
 
 struct WitnessResponse {
@@ -67,18 +67,18 @@
 };
 struct WitnessRequest {
   using Response = WitnessResponse;
-  ResourceId resource;
+  ResourceId resource{};
   Epoch epoch = 0;
 };
 
 struct LogRecord {
   Offset offset = 0;
-  std::string data;
+  std::string data{};
 
   auto operator==(const LogRecord&) const -> bool = default;
 };
 struct ReadRecordsResponse {
-  std::vector<LogRecord> records;
+  std::vector<LogRecord> records{};
   Offset first = 0;  ///< Lowest offset that the callee holds.
   Offset next = 0;   ///< Where to read on.
 };
@@ -89,34 +89,34 @@
 };
 
 struct JobStatus {
-  JobId job;
+  JobId job{};
   bool owned = false;  ///< Whether the callee owns the job's shard.
-  std::string status_json;
+  std::string status_json{};
 
   auto operator==(const JobStatus&) const -> bool = default;
 };
 struct JobStatusResponse {
-  std::vector<JobStatus> jobs;
+  std::vector<JobStatus> jobs{};
 };
 struct JobStatusRequest {
   using Response = JobStatusResponse;
-  std::vector<JobId> jobs;
+  std::vector<JobId> jobs{};
 };
 
 struct ListJobsResponse {
-  std::vector<JobStatus> jobs;
-  std::string next_cursor;  ///< Empty after the last page.
+  std::vector<JobStatus> jobs{};
+  std::string next_cursor{};  ///< Empty after the last page.
 };
 struct ListJobsRequest {
   using Response = ListJobsResponse;
-  TeamId team;
-  std::string cursor;  ///< Empty for the first page.
+  TeamId team{};
+  std::string cursor{};  ///< Empty for the first page.
   std::uint32_t max = 0;
 };
 
 struct Header {
-  std::string name;
-  std::string value;
+  std::string name{};
+  std::string value{};
 
   auto operator==(const Header&) const -> bool = default;
 };
@@ -125,30 +125,30 @@
 struct ForwardResponse {
   Verdict verdict = Verdict::kMayHaveRun;
   std::uint16_t status = 0;  ///< HTTP status; 0 without an answer.
-  std::vector<Header> headers;
-  std::string body;
-  std::string reason;  ///< Empty unless refused or failed.
+  std::vector<Header> headers{};
+  std::string body{};
+  std::string reason{};  ///< Empty unless refused or failed.
 };
 struct ForwardRequest {
   using Response = ForwardResponse;
-  ServiceName service;
-  TeamId team;
-  ProfileName profile;
-  RequestId request_id;
+  ServiceName service{};
+  TeamId team{};
+  ProfileName profile{};
+  RequestId request_id{};
   /// Whole milliseconds are sent, less the time spent waiting for a connection.
   Duration deadline_left{};
   bool idempotent = false;
-  std::string body;
-  std::vector<Header> headers;
+  std::string body{};
+  std::vector<Header> headers{};
 };
 
 struct ExplainResponse {
-  std::string json;
+  std::string json{};
 };
 struct ExplainRequest {
   using Response = ExplainResponse;
-  std::string kind;
-  std::string id;
+  std::string kind{};
+  std::string id{};
 };
 
 using AnyRequest = std::variant<HeartbeatRequest,
--- a/libs/rpc/include/rpc/peer_client.h
+++ b/libs/rpc/include/rpc/peer_client.h
@@ -20,9 +20,9 @@
 template <typename Response>
 struct CallResult {
   Verdict verdict = Verdict::kNotRun;
-  std::optional<Response> response;  ///< Only with kRan.
-  std::string reason;                ///< Short stable name; empty with kRan.
-  std::string message;
+  std::optional<Response> response{};  ///< Only with kRan.
+  std::string reason{};                ///< Short stable name; empty with kRan.
+  std::string message{};
 };
 
 struct PeerClientOptions {
@@ -41,6 +41,7 @@
   /// Calls of one peer that have not ended, and their bytes.
   std::size_t max_calls_per_peer = 512;
   std::size_t max_bytes_per_peer = 8 << 20;
+  /// The same for all processes; a larger message costs the connection.
   std::size_t max_message_bytes = 8 << 20;
   std::uint64_t jitter_seed = 0;  ///< 0 takes a random seed.
   Metrics* metrics = nullptr;     ///< Optional; must outlive the client.
--- a/libs/rpc/include/rpc/peer_server.h
+++ b/libs/rpc/include/rpc/peer_server.h
@@ -33,6 +33,7 @@
   std::size_t max_waiting_bytes_per_connection = 16 << 20;
   /// Replies held by the handler, including those whose caller has gone.
   std::size_t max_open_calls = 16'384;
+  /// The same for all processes; a larger message costs the connection.
   std::size_t max_message_bytes = 8 << 20;
   /// A connection without a call for this long, or whose peer has not read for
   /// this long, is closed. A PeerClient pings far more often.
--- a/libs/rpc/src/loop_thread.h
+++ b/libs/rpc/src/loop_thread.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -11,6 +12,14 @@
 
 namespace shallotbank::rpc {
 
+/// One thread at a time. The library initialises function-local statics here,
+/// and ThreadSanitizer cannot see the guards of an uninstrumented library.
+inline auto SetUpAsyncIo() -> kj::AsyncIoContext {
+  static std::mutex mutex;
+  std::lock_guard lock(mutex);
+  return kj::setupAsyncIo();
+}
+
 /// A thread with a kj event loop and one `Core` that lives on it. Tasks run
 /// between turns of the loop, never inside a promise callback, so they may
 /// destroy promises.
@@ -44,7 +53,7 @@
 
  private:
   auto Run(const Build& build) -> void {
-    auto io = kj::setupAsyncIo();
+    auto io = SetUpAsyncIo();
     const auto core = build(io, this->tasks);
     auto wake = io.lowLevelProvider->wrapInputFd(this->tasks->ReadFd());
     bool closed = false;
--- a/libs/rpc/src/peer_client.cc
+++ b/libs/rpc/src/peer_client.cc
@@ -86,7 +86,10 @@
 PeerClient::PeerClient(PeerClientOptions options)
     : impl(std::make_unique<Impl>(options)) {}
 
-PeerClient::~PeerClient() = default;
+PeerClient::~PeerClient() {
+  // While `impl` is whole, because a result may start another call.
+  this->impl->Stop();
+}
 
 auto PeerClient::Submit(const std::string& address,
                         AnyRequest request,
--- a/libs/rpc/tests/peer_fixture.h
+++ b/libs/rpc/tests/peer_fixture.h
@@ -32,7 +32,8 @@
   return true;
 }
 
-/// Echoes what it can; keeps the replies to `explain` calls of kind "hold".
+/// Echoes what it can; keeps the replies to `explain` calls of kind "hold",
+/// and answers those of kind "big" with as many bytes as the id says.
 class TestHandler {
  public:
   auto Handle(HeartbeatRequest request, Reply<HeartbeatResponse> reply)
@@ -86,6 +87,8 @@
       this->held.push_back(std::move(reply));
     } else if (request.kind == "fail") {
       reply.Fail("cannot explain " + request.id);
+    } else if (request.kind == "big") {
+      reply.Send({.json = std::string(std::stoul(request.id), 'x')});
     } else if (request.kind != "drop") {
       reply.Send({.json = request.kind + request.id});
     }
