Add the operator's client

One file holds each group of subcommands.

Decisions: the next entry host is tried only if the refusal or the transport says not-run and the status is 503, 429 or none; a GET has no effect and may move on. A submit or request without an id gets a random one, which the message names if the work may have run. Grant and withdraw change one item and are repeated after a lost race; publish is not.

Ruled out: base Settings, whose flags all take a value; reading secrets from flags, which other users of the machine can see.

Minions are shown by group only, since the entry interface does not list them.

--- /dev/null
+++ b/apps/client/entry_client.cc
@@ -0,0 +1,181 @@
+#include "entry_client.h"
+
+#include <optional>
+
+namespace shallotbank::client {
+namespace {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
+
+// What an entry host says of a request that it did not carry out.
+struct EntryRefusal {
+  Verdict verdict = Verdict::kNotRun;
+  std::string reason;
+  std::string text;
+};
+
+auto Member(const json& object, const char* name) -> std::string {
+  const auto found = object.find(name);
+  return found != object.end() && found->is_string() ? found->get<std::string>()
+                                                     : "";
+}
+
+// Without a valid `execution` the answer comes from a minion, which is free to
+// answer in any form.
+auto ParseRefusal(const http::Reply& reply) -> std::optional<EntryRefusal> {
+  if (reply.IsSuccess()) {
+    return std::nullopt;
+  }
+  const auto body = json::parse(reply.body, nullptr, false);
+  if (!body.is_object() || !body.contains("error") ||
+      !body["error"].is_object()) {
+    return std::nullopt;
+  }
+  const auto& error = body["error"];
+  EntryRefusal refusal;
+  const auto execution = Member(error, "execution");
+  if (execution == ToText(Verdict::kMayHaveRun)) {
+    refusal.verdict = Verdict::kMayHaveRun;
+  } else if (execution == ToText(Verdict::kRan)) {
+    refusal.verdict = Verdict::kRan;
+  } else if (execution != ToText(Verdict::kNotRun)) {
+    return std::nullopt;
+  }
+  refusal.reason = Member(error, "reason");
+  const auto field = Member(error, "field");
+  refusal.text = refusal.reason + ": " + Member(error, "message") +
+                 (field.empty() ? "" : " (" + field + ")");
+  for (const auto& fault : error.value("errors", json::array())) {
+    if (fault.is_object()) {
+      refusal.text +=
+          "\n  " + Member(fault, "field") + ": " + Member(fault, "message");
+    }
+  }
+  return refusal;
+}
+
+auto NextStep(const EntryRefusal& refusal, int status) -> std::string {
+  if (refusal.reason == "version_conflict") {
+    return "read the configuration again (shallotbank show) and repeat";
+  }
+  if (refusal.reason == "invalid_key") {
+    return "check SHALLOTBANK_TEAM and SHALLOTBANK_KEY; the key may have been "
+           "withdrawn, or granted less than a few seconds ago";
+  }
+  if (refusal.reason == "missing_header") {
+    return "give --team and set SHALLOTBANK_KEY";
+  }
+  if (refusal.reason == "invalid_operator_key") {
+    return "check SHALLOTBANK_OPERATOR_KEY";
+  }
+  if (status == kUnavailable || status == kTooManyRequests) {
+    return "nothing has happened; try again later or through another entry "
+           "host (--entry URL,URL)";
+  }
+  return "";
+}
+
+auto StatusOf(const EntryRefusal& refusal, int status) -> ExitStatus {
+  if (refusal.reason == "version_conflict") {
+    return ExitStatus::kConflict;
+  }
+  if (refusal.verdict == Verdict::kMayHaveRun) {
+    return ExitStatus::kMayHaveRun;
+  }
+  if (refusal.verdict == Verdict::kRan) {
+    return ExitStatus::kFailed;
+  }
+  return status == kNotFound ? ExitStatus::kNotFound : ExitStatus::kNotRun;
+}
+
+auto MayHaveRunStep(const EntryRequest& request) -> std::string {
+  return request.repeat.empty() ? "find out what happened before a repeat"
+                                : request.repeat;
+}
+
+auto FailureOf(const EntryRequest& request,
+               const std::string& entry,
+               const http::Reply& reply) -> Failure {
+  const auto where = request.method + " " + entry + request.path + ": ";
+  if (const auto refusal = ParseRefusal(reply)) {
+    const auto status = StatusOf(*refusal, reply.status);
+    return {status, where + refusal->text,
+            status == ExitStatus::kMayHaveRun
+                ? MayHaveRunStep(request)
+                : NextStep(*refusal, reply.status)};
+  }
+  const auto cause = where + reply.error;
+  if (reply.verdict == Verdict::kNotRun) {
+    return {ExitStatus::kNotRun, cause,
+            "check the address (--entry or SHALLOTBANK_ENTRY) and that the "
+            "host is up"};
+  }
+  if (request.method == "GET") {
+    return {ExitStatus::kTimeout, cause, "try again, or another entry host"};
+  }
+  return {ExitStatus::kMayHaveRun, cause, MayHaveRunStep(request)};
+}
+
+// Whether another host may carry out what this one did not.
+auto IsWorthAnotherHost(const EntryRequest& request, const http::Reply& reply)
+    -> bool {
+  const auto refusal = ParseRefusal(reply);
+  if (refusal) {
+    return refusal->verdict == Verdict::kNotRun &&
+           (reply.status == kUnavailable || reply.status == kTooManyRequests);
+  }
+  const bool is_answer = reply.verdict == Verdict::kRan && reply.status != 0;
+  return !is_answer &&
+         (reply.verdict == Verdict::kNotRun || request.method == "GET");
+}
+
+}  // namespace
+
+EntryClient::EntryClient(std::vector<std::string> entries, Duration timeout)
+    : entries(std::move(entries)), timeout(timeout) {}
+
+auto EntryClient::Send(const EntryRequest& request)
+    -> leaf::result<EntryAnswer> {
+  Failure failure{ExitStatus::kUsage, "no entry host is given",
+                  "give --entry http://IP:PORT or set SHALLOTBANK_ENTRY"};
+  for (const auto& entry : this->entries) {
+    auto reply = this->client.SendAndWait({.method = request.method,
+                                           .url = entry + request.path,
+                                           .headers = request.headers,
+                                           .body = request.body,
+                                           .timeout = this->timeout});
+    const bool is_answer = reply.verdict == Verdict::kRan && reply.status != 0;
+    if (is_answer && !ParseRefusal(reply)) {
+      return EntryAnswer{reply.status, std::move(reply.headers),
+                         std::move(reply.body), entry};
+    }
+    failure = FailureOf(request, entry, reply);
+    if (!IsWorthAnotherHost(request, reply)) {
+      break;
+    }
+  }
+  return leaf::new_error(std::move(failure));
+}
+
+auto EntryClient::SendForJson(const EntryRequest& request)
+    -> leaf::result<json> {
+  BOOST_LEAF_AUTO(answer, this->Send(request));
+  auto body = json::parse(answer.body, nullptr, false);
+  if (answer.IsSuccess() && body.is_object()) {
+    return body;
+  }
+  const bool is_read = request.method == "GET";
+  return Fail(is_read ? ExitStatus::kFailed : ExitStatus::kMayHaveRun,
+              request.method + " " + answer.entry + request.path +
+                  ": unexpected answer with status " +
+                  std::to_string(answer.status),
+              is_read ? "check that the address is that of an entry host"
+                      : MayHaveRunStep(request));
+}
+
+}  // namespace shallotbank::client
--- /dev/null
+++ b/apps/client/published_configuration.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <vector>
+
+#include "command.h"
+#include "configuration/configuration.h"
+#include "configuration/configuration_change.h"
+
+namespace shallotbank::client {
+
+/// The configuration in force and its version.
+struct PublishedConfiguration {
+  Offset version = 0;
+  configuration::Configuration content;
+};
+
+/// Reads the configuration in force. Errors: `Failure`.
+auto FetchConfiguration(Session& session)
+    -> boost::leaf::result<PublishedConfiguration>;
+
+/// Publishes `changes` on top of `version` and returns the new version.
+/// Errors: `Failure`; kConflict if `version` is not in force any more.
+auto PublishChanges(
+    Session& session,
+    Offset version,
+    const std::vector<configuration::ConfigurationChange>& changes)
+    -> boost::leaf::result<Offset>;
+
+/// One line a fault.
+auto ToText(const configuration::ConfigurationErrors& errors) -> std::string;
+
+}  // namespace shallotbank::client
--- /dev/null
+++ b/apps/client/table.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace shallotbank::client {
+
+/// Text in columns, as wide as their longest cell.
+class Table {
+ public:
+  explicit Table(std::vector<std::string> header);
+
+  /// Missing cells are empty.
+  auto Add(std::vector<std::string> row) -> void;
+  auto Print(std::ostream& out) const -> void;
+
+ private:
+  std::vector<std::vector<std::string>> rows;
+};
+
+}  // namespace shallotbank::client
--- /dev/null
+++ b/apps/client/tests/publish_test.cc
@@ -0,0 +1,151 @@
+#include <fstream>
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "client_run.h"
+#include "configuration/configuration.h"
+#include "failure.h"
+#include "fake_entry.h"
+
+namespace shallotbank::client {
+namespace {
+
+using nlohmann::json;
+
+const std::string kFile = std::string(EXAMPLES_DIR) + "/caxias.json";
+
+auto Example() -> json {
+  std::ifstream file(kFile);
+  return json::parse(file);
+}
+
+auto Published(const json& configuration, int version) -> http::Response {
+  return {200,
+          {},
+          json{{"version", version}, {"configuration", configuration}}.dump()};
+}
+
+auto HostsAt(int first, int second) -> http::Response {
+  auto host = [](const char* name, const char* role, int head) {
+    return json{{"host", name}, {"role", role}, {"log_head", head}};
+  };
+  return {200,
+          {},
+          json{{"hosts",
+                {host("e1", "entry", first), host("e2", "entry", second),
+                 host("e2", "sched", 0)}}}
+              .dump()};
+}
+
+// Guards against a publish that sends more than the difference, or that is
+// based on another version than the one it was compared with.
+BOOST_AUTO_TEST_CASE(OnlyTheDifferenceIsSent) {
+  auto before = Example();
+  before["organisations"][0]["weight"] = 9;
+  FakeEntry entry({Published(before, 41), {200, {}, R"({"version":42})"}});
+  const auto run = Run(entry.Url(), {"publish", kFile});
+  BOOST_TEST(run.code == 0, run.err);
+  BOOST_TEST(run.out.find("weight 9 -> 6") != std::string::npos, run.out);
+  BOOST_TEST(run.out.find("published as version 42") != std::string::npos);
+  const auto sent = json::parse(entry.Seen().at(1).body);
+  BOOST_TEST(entry.Seen()[1].method == "PATCH");
+  BOOST_TEST(sent["expected_version"] == 41);
+  BOOST_TEST(sent["changes"].size() == 1U);
+}
+
+// Guards against a dry run that changes something.
+BOOST_AUTO_TEST_CASE(DryRunSendsNothing) {
+  auto before = Example();
+  before["organisations"][0]["weight"] = 9;
+  FakeEntry entry({Published(before, 41)});
+  const auto run = Run(entry.Url(), {"publish", "--dry-run", kFile});
+  BOOST_TEST(run.code == 0);
+  BOOST_TEST(run.out.find("weight 9 -> 6") != std::string::npos);
+  BOOST_TEST(entry.Seen().size() == 1U);
+}
+
+// Guards against a lost race that looks like a success or is overwritten.
+BOOST_AUTO_TEST_CASE(LostRaceIsAConflict) {
+  auto before = Example();
+  before["organisations"][0]["weight"] = 9;
+  FakeEntry entry(
+      {Published(before, 41), Refusal(409, "version_conflict", "not-run")});
+  const auto run = Run(entry.Url(), {"publish", kFile});
+  BOOST_TEST(run.code == static_cast<int>(ExitStatus::kConflict));
+  BOOST_TEST(entry.Seen().size() == 2U);
+}
+
+// Guards against an old file that brings a withdrawn key back.
+BOOST_AUTO_TEST_CASE(KeysChangeOnlyOnDemand) {
+  auto before = Example();
+  before["keys"].erase(before["keys"].begin());
+  FakeEntry entry({Published(before, 41)});
+  const auto refused = Run(entry.Url(), {"publish", kFile});
+  BOOST_TEST(refused.code == static_cast<int>(ExitStatus::kNotRun));
+  BOOST_TEST(refused.err.find("serra-workshop-2026") != std::string::npos);
+  const auto kept = Run(entry.Url(), {"publish", "--keys", "keep", kFile});
+  BOOST_TEST(kept.code == 0);
+  BOOST_TEST(kept.out.find("nothing to change") != std::string::npos);
+  BOOST_TEST(entry.Seen().size() == 2U);
+}
+
+// Guards against a secret that leaves the operator's machine or is printed,
+// and against a grant that is given up because of another publish.
+BOOST_AUTO_TEST_CASE(GrantSendsTheHashOnlyAndSurvivesARace) {
+  const std::string secret = "a-new-secret-of-the-team";
+  FakeEntry entry({Published(Example(), 41),
+                   Refusal(409, "version_conflict", "not-run"),
+                   Published(Example(), 43),
+                   {200, {}, R"({"version":44})"}});
+  const auto run = Run(entry.Url(), {"grant", "serra-shop", "new-key"}, secret);
+  BOOST_TEST(run.code == 0, run.err);
+  for (const auto& request : entry.Seen()) {
+    BOOST_TEST(request.body.find(secret) == std::string::npos);
+  }
+  const auto sent = json::parse(entry.Seen().at(3).body);
+  BOOST_TEST(sent["expected_version"] == 43);
+  BOOST_TEST(sent["changes"][0]["value"]["sha256"] ==
+             configuration::Sha256Hex(secret));
+  const auto shown = run.out + run.err;
+  BOOST_TEST(shown.find(secret) == std::string::npos);
+  BOOST_TEST(shown.find(kOperatorSecret) == std::string::npos);
+}
+
+// Guards against keys that can be guessed, and against unknown names.
+BOOST_AUTO_TEST_CASE(GrantAndWithdrawCheckTheirInput) {
+  FakeEntry entry({Published(Example(), 41)});
+  BOOST_TEST(Run(entry.Url(), {"grant", "serra-shop", "k"}, "short").code ==
+             static_cast<int>(ExitStatus::kUsage));
+  BOOST_TEST(
+      Run(entry.Url(), {"grant", "nobody", "k"}, "long-enough-secret").code ==
+      static_cast<int>(ExitStatus::kNotFound));
+  BOOST_TEST(Run(entry.Url(), {"withdraw", "k"}).code ==
+             static_cast<int>(ExitStatus::kNotFound));
+  for (const auto& request : entry.Seen()) {
+    BOOST_TEST(request.method == "GET");
+  }
+}
+
+// Guards against a withdrawal that is reported in force while an entry host
+// still accepts the key. The scheduler's head does not matter.
+BOOST_AUTO_TEST_CASE(WaitNamesTheHostsBehind) {
+  FakeEntry entry({Published(Example(), 41),
+                   {200, {}, R"({"version":42})"},
+                   HostsAt(42, 41),
+                   HostsAt(42, 42)});
+  const auto run = Run(entry.Url(), {"withdraw", "--wait", "serra-shop-2026"});
+  BOOST_TEST(run.code == 0, run.err);
+  BOOST_TEST(run.err.find("waiting for e2 (at 41)") != std::string::npos);
+  BOOST_TEST(run.err.find("e1") == std::string::npos);
+  FakeEntry slow({Published(Example(), 41),
+                  {200, {}, R"({"version":42})"},
+                  HostsAt(42, 41)});
+  const auto late = Run(slow.Url(), {"withdraw", "--wait", "--timeout", "300ms",
+                                     "serra-shop-2026"});
+  BOOST_TEST(late.code == static_cast<int>(ExitStatus::kTimeout));
+}
+
+}  // namespace
+}  // namespace shallotbank::client
