--- a/apps/entry/request_service.cc
+++ b/apps/entry/request_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "base/log.h"
 #include "configuration/configuration.h"
@@ -12,6 +13,7 @@
 namespace leaf = boost::leaf;
 using std::chrono::milliseconds;
 
+constexpr std::size_t kMaxWaitingRepeats = 1000;
 constexpr int kConflict = 409;
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
@@ -128,7 +130,7 @@
 auto RequestService::Record(const std::shared_ptr<OpenRequest>& request)
     -> void {
   const auto digest = Digest(request->profile, request->body);
-  if (this->RefuseRepeat(*request, digest)) {
+  if (this->AnswerRepeat(request, digest)) {
     return;
   }
   if (!this->context.log.CanAppend()) {
@@ -156,7 +158,7 @@
             request->request.team, id, this->context.process, token);
         if (is_first) {
           this->Submit(std::move(*request));
-        } else if (!this->RefuseRepeat(*request, digest)) {
+        } else if (!this->AnswerRepeat(request, digest)) {
           Refuse(this->context, *request->call, kUnavailable,
                  {Verdict::kNotRun, "request_not_recorded", "",
                   "the request could not be recorded"});
@@ -164,41 +166,74 @@
       });
 }
 
-// Answers a request whose id is in the log already. False if it is not.
-auto RequestService::RefuseRepeat(OpenRequest& request,
+// Answers a request whose id is in the log already, or lets it wait for the
+// first one to end. False if the id is not in the log.
+auto RequestService::AnswerRepeat(const std::shared_ptr<OpenRequest>& request,
                                   const std::string& digest) -> bool {
   const auto* entry = this->context.log.State()->Requests().Find(
-      request.request.team, RequestId(request.caller_id));
+      request->request.team, RequestId(request->caller_id));
   if (entry == nullptr) {
     return false;
   }
-  auto& call = *request.call;
+  auto& call = *request->call;
   if (entry->digest != digest) {
     Refuse(this->context, call, kUnprocessable,
            {Verdict::kNotRun, "request_id_reused", header::kRequestId,
             "the id belongs to another request; this one did not run"});
-    return true;
-  }
-  if (entry->answer && entry->answer->body) {
-    this->context.metrics.Add("requests_replayed_total");
-    call.responder.Send({entry->answer->status,
-                         {{"Content-Type", entry->answer->content_type},
-                          {header::kRequestId, request.caller_id},
-                          {header::kReplayed, "true"},
-                          {header::kHost, this->context.settings.host}},
-                         *entry->answer->body});
-    return true;
+  } else if (entry->answer) {
+    this->ReplyFromRecord(*request, *entry->answer);
+  } else if (this->repeats.size() < kMaxWaitingRepeats &&
+             this->MayStillEnd(*request, *entry)) {
+    this->repeats.push_back({request, digest});
+  } else {
+    Refuse(this->context, call, kConflict,
+           {Verdict::kMayHaveRun, "request_repeated", header::kRequestId,
+            "the request was taken in before; its outcome is not known"});
   }
-  if (entry->answer) {
+  return true;
+}
+
+auto RequestService::ReplyFromRecord(OpenRequest& request,
+                                     const journal::Answer& answer) -> void {
+  auto& call = *request.call;
+  if (!answer.body) {
     Refuse(this->context, call, kConflict,
            {Verdict::kRan, "answer_not_kept", header::kRequestId,
             "the request ran; its answer was too large to keep"});
-    return true;
+    return;
+  }
+  this->context.metrics.Add("requests_replayed_total");
+  call.responder.Send({answer.status,
+                       {{"Content-Type", answer.content_type},
+                        {header::kRequestId, request.caller_id},
+                        {header::kReplayed, "true"},
+                        {header::kHost, this->context.settings.host}},
+                       *answer.body});
+}
+
+// The process that took in the first request is alive, so its outcome may
+// still come.
+auto RequestService::MayStillEnd(const OpenRequest& request,
+                                 const journal::RequestEntry& entry) const
+    -> bool {
+  if (SystemClock().Now() >= request.request.deadline) {
+    return false;
+  }
+  if (entry.writer == this->context.process) {
+    return std::any_of(this->open.begin(), this->open.end(),
+                       [&entry](const auto& other) {
+                         return other.second.token == entry.token;
+                       });
+  }
+  const auto* writer = this->context.peers.Find(entry.writer);
+  return writer != nullptr && !writer->is_suspected;
+}
+
+auto RequestService::AnswerWaitingRepeats() -> void {
+  auto waiting = std::exchange(this->repeats, {});
+  for (const auto& repeat : waiting) {
+    this->AnswerRepeat(repeat.request, repeat.digest);
   }
-  Refuse(this->context, call, kConflict,
-         {Verdict::kMayHaveRun, "request_repeated", header::kRequestId,
-          "the request was taken in before; its outcome is not known"});
-  return true;
 }
 
 auto RequestService::Submit(OpenRequest request) -> void {
@@ -263,6 +298,7 @@
     this->Execute(this->router.SetGroup(group, now));
   }
   this->Execute(this->router.Expire(now));
+  this->AnswerWaitingRepeats();
 }
 
 auto RequestService::FreeSlots() -> std::vector<rpc::FreeSlots> {
--- a/apps/entry/request_service.h
+++ b/apps/entry/request_service.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "api.h"
 #include "authorization.h"
@@ -34,7 +35,9 @@
 
   auto FreeSlots() -> std::vector<rpc::FreeSlots>;
   /// Requests that have not been answered.
-  auto Open() const -> std::size_t { return this->open.size(); }
+  auto Open() const -> std::size_t {
+    return this->open.size() + this->repeats.size();
+  }
 
  private:
   // A request in progress, of a caller or of a peer.
@@ -53,7 +56,13 @@
   auto Take(const ApiCall& call, const Caller& caller)
       -> boost::leaf::result<OpenRequest>;
   auto Record(const std::shared_ptr<OpenRequest>& request) -> void;
-  auto RefuseRepeat(OpenRequest& request, const std::string& digest) -> bool;
+  auto AnswerRepeat(const std::shared_ptr<OpenRequest>& request,
+                    const std::string& digest) -> bool;
+  auto ReplyFromRecord(OpenRequest& request, const journal::Answer& answer)
+      -> void;
+  auto MayStillEnd(const OpenRequest& request,
+                   const journal::RequestEntry& entry) const -> bool;
+  auto AnswerWaitingRepeats() -> void;
   auto Submit(OpenRequest request) -> void;
   auto Execute(const routing::Actions& actions) -> void;
   auto Execute(const routing::Dispatch& dispatch) -> void;
@@ -73,6 +82,12 @@
   MinionGroups& groups;
   routing::MinionRouter router;
   std::unordered_map<RequestId, OpenRequest> open;
+  // Repeats of requests that are still in progress at another process.
+  struct WaitingRepeat {
+    std::shared_ptr<OpenRequest> request;
+    std::string digest;
+  };
+  std::vector<WaitingRepeat> repeats;
   http::Reply current;  // The reply that the present actions are about.
   std::uint64_t next_request = 1;
   std::uint64_t next_token = 1;
--- a/libs/journal/include/journal/retention_planner.h
+++ b/libs/journal/include/journal/retention_planner.h
@@ -18,7 +18,8 @@
 /// oldest fact that only the log holds, or the snapshot itself, is that old.
 class RetentionPlanner {
  public:
-  /// A snapshot that does not become complete is tried again after this time.
+  /// A snapshot that does not become complete is tried again after this time,
+  /// or after an eighth of the retention if that is shorter.
   static constexpr std::chrono::milliseconds kRetryAfter =
       std::chrono::minutes(1);
 
--- a/libs/journal/src/retention_planner.cc
+++ b/libs/journal/src/retention_planner.cc
@@ -23,7 +23,7 @@
   }
   // A clock that was set back must not delay the next attempt for long.
   if (this->started && now >= *this->started &&
-      now - *this->started < kRetryAfter) {
+      now - *this->started < std::min(kRetryAfter, this->retention / 8)) {
     return false;
   }
   const auto is_old = now - *since >= this->retention / 2;
