--- a/libs/queueing/include/queueing/decision.h
+++ b/libs/queueing/include/queueing/decision.h
@@ -43,14 +43,15 @@
 enum class TaskEnd {
   kFinished,
   kFailed,    ///< Ended for good without success.
-  kReturned,  ///< Did not run, or may run again: it waits again in its place.
+  kRetry,     ///< Ran or may have run; it waits again in its place.
+  kReturned,  ///< Certainly did not run; it waits again in its place.
 };
 
 /// The true answer to a cancellation; the same for a repeat.
 enum class CancelOutcome {
   kNotStarted,  ///< No task ran and none will.
   kStopping,    ///< Tasks run; the caller has to stop them.
-  kFinished,    ///< The job had ended before.
+  kFinished,    ///< Some task ran; none runs now and none will.
   kUnknown,     ///< Never seen, or ended too long ago to be remembered.
 };
 
--- a/libs/queueing/include/queueing/queue_policy.h
+++ b/libs/queueing/include/queueing/queue_policy.h
@@ -35,8 +35,10 @@
   double urgent_allowance = 0.5;
   /// A job that smaller work has overtaken for this long is due a reservation.
   Duration reservation_after = std::chrono::seconds(30);
-  /// The same for a job whose team is below its entitlement.
-  Duration reservation_after_below_share = std::chrono::seconds(5);
+  /// The same for a job, other than a gang, whose team is below its
+  /// entitlement. Teams with larger tasks only reach their share if the room of
+  /// several ended tasks is gathered for them about as fast as tasks end.
+  Duration reservation_after_below_share = Duration::zero();
   /// Only teams with a use of at least this multiple of their entitlement are
   /// named in preemption advice.
   double preemption_ratio = 1.5;
--- a/libs/queueing/src/allotment_ledger.cc
+++ b/libs/queueing/src/allotment_ledger.cc
@@ -9,27 +9,36 @@
 
 namespace leaf = boost::leaf;
 
-// The fractions are rounded up by less than one part each. With limits up to
-// 2^40 and up to 2^10 shards, what is rounded up adds less than one unit to the
-// sum of all shards, so the sum of the rounded-down allotments stays exact.
+// Fractions are rounded by less than one part a move, so allotments are rounded
+// down only after adding kSlack, 2^-12 of a unit; otherwise a whole amount
+// could come out one unit short. With at most 2^10 shards and limits up to
+// 2^40, the slack and the rounding together stay below one unit for the sum of
+// all shards, which is a whole number and so never exceeds the limit.
 constexpr std::int64_t kWhole = std::int64_t{1} << 60;
+constexpr std::int64_t kSlack = kWhole >> 12;
 constexpr std::size_t kMostShards = 1024;
 
 __extension__ using Wide = unsigned __int128;
 
-auto RoundDown(std::int64_t factor, std::int64_t other, std::int64_t divisor)
-    -> std::int64_t {
-  return static_cast<std::int64_t>(static_cast<Wide>(factor) *
-                                   static_cast<Wide>(other) /
-                                   static_cast<Wide>(divisor));
+auto Units(std::int64_t limit, std::int64_t fraction) -> std::int64_t {
+  const auto parts = static_cast<Wide>(limit) *
+                     static_cast<Wide>(std::max<std::int64_t>(fraction, 0));
+  return static_cast<std::int64_t>((parts + kSlack) / kWhole);
 }
 
-auto RoundUp(std::int64_t factor, std::int64_t other, std::int64_t divisor)
-    -> std::int64_t {
-  const auto down = RoundDown(factor, other, divisor);
-  const bool is_exact = static_cast<Wide>(down) * static_cast<Wide>(divisor) ==
-                        static_cast<Wide>(factor) * static_cast<Wide>(other);
-  return is_exact ? down : down + 1;
+auto Fraction(std::int64_t units, std::int64_t of_limit) -> std::int64_t {
+  if (units == 0) {
+    return 0;
+  }
+  const auto parts = static_cast<Wide>(units) * static_cast<Wide>(kWhole);
+  const auto limit = static_cast<Wide>(of_limit);
+  return static_cast<std::int64_t>((parts + limit - 1) / limit);
+}
+
+// Whether what is held covers the fraction but for rounding.
+auto IsCovered(std::int64_t fraction, std::int64_t held, std::int64_t of_limit)
+    -> bool {
+  return fraction == 0 || fraction <= held + kSlack / of_limit;
 }
 
 auto Refuse(std::string field, std::string message) -> leaf::error_id {
@@ -67,7 +76,7 @@
         continue;
       }
       const auto units = limit[c] / count + (k < limit[c] % count ? 1 : 0);
-      fraction = RoundUp(units, kWhole, limit[c]);
+      fraction = Fraction(units, limit[c]);
     }
   }
   return held;
@@ -95,7 +104,7 @@
   const auto of_limit = ToComponents(move.of_limit);
   Fractions delta{};
   for (std::size_t c = 0; c < kComponents; ++c) {
-    delta[c] = amount[c] == 0 ? 0 : RoundUp(amount[c], kWhole, of_limit[c]);
+    delta[c] = Fraction(amount[c], of_limit[c]);
   }
   return delta;
 }
@@ -120,8 +129,9 @@
     return Refuse("amount", "must be between 0 and the limit");
   }
   const auto delta = Delta(move);
+  const auto of_limit = ToComponents(move.of_limit);
   for (std::size_t c = 0; c < kComponents; ++c) {
-    if (delta[c] > found->second.held[from][c]) {
+    if (!IsCovered(delta[c], found->second.held[from][c], of_limit[c])) {
       return Refuse("amount", "is not covered by what the donor holds");
     }
   }
@@ -145,7 +155,8 @@
   const auto delta = Delta(move);
   const auto donor = this->Index(from);
   for (std::size_t c = 0; c < kComponents; ++c) {
-    if (delta[c] > entry.held[donor][c] - entry.offered[donor][c]) {
+    const auto rest = entry.held[donor][c] - entry.offered[donor][c];
+    if (!IsCovered(delta[c], rest, limit[c])) {
       return Refuse("amount", "is not covered by what the donor may use");
     }
   }
@@ -187,8 +198,9 @@
   const auto donor = this->Index(move.from);
   const auto receiver = this->Index(move.to);
   for (std::size_t c = 0; c < kComponents; ++c) {
-    team.held[donor][c] -= delta[c];
-    team.held[receiver][c] += delta[c];
+    const auto moved = std::min(delta[c], team.held[donor][c]);
+    team.held[donor][c] -= moved;
+    team.held[receiver][c] += moved;
   }
   return {};
 }
@@ -203,9 +215,8 @@
   const auto& entry = found->second;
   Components usable{};
   for (std::size_t c = 0; c < kComponents; ++c) {
-    usable[c] =
-        RoundDown(entry.limit[c],
-                  entry.held[position][c] - entry.offered[position][c], kWhole);
+    usable[c] = Units(entry.limit[c],
+                      entry.held[position][c] - entry.offered[position][c]);
   }
   return {{usable[0], usable[1], usable[2]}, usable[3]};
 }
--- a/libs/queueing/src/fair_queue_jobs.cc
+++ b/libs/queueing/src/fair_queue_jobs.cc
@@ -26,10 +26,10 @@
 
 auto FairQueue::State::InsertWaiting(Job& job) -> void {
   job.team->queue.Insert(job);
-  job.team->is_stale = true;
+  MarkStale(*job.team);
   this->waiting_jobs++;
   const bool may_expire =
-      job.accepted.start_by && job.running == 0 && job.ended == 0;
+      job.accepted.start_by && job.running == 0 && !job.has_run;
   if (may_expire) {
     this->deadlines[{*job.accepted.start_by, job.order.sequence}] = &job;
   }
@@ -40,7 +40,7 @@
     return;
   }
   job.team->queue.Remove(job);
-  job.team->is_stale = true;
+  MarkStale(*job.team);
   this->waiting_jobs--;
   if (job.accepted.start_by) {
     this->deadlines.erase({*job.accepted.start_by, job.order.sequence});
@@ -144,15 +144,17 @@
     queue.Remove(*job);
     job->is_apart = true;
     queue.Insert(*job);
-    job->team->is_stale = true;
+    MarkStale(*job->team);
   }
   this->shapes.Block(job->group->shape->key, reason);
   this->just_blocked.push_back(id);
   for (auto& organisation : this->organisations) {
     for (auto* team : organisation->teams) {
-      const bool is_head_blocked = !team->is_stale && team->head != nullptr &&
-                                   team->head->shape->blocked;
-      team->is_stale = team->is_stale || is_head_blocked;
+      const auto* shape = team->head.shape;
+      if (!team->is_stale && shape != nullptr && shape->blocked) {
+        team->is_head_stale = true;
+        organisation->is_stale = true;
+      }
     }
   }
 }
@@ -164,7 +166,12 @@
   }
   for (auto& organisation : this->organisations) {
     for (auto* team : organisation->teams) {
-      team->is_stale = team->is_stale || team->has_skipped_blocked;
+      if (!team->is_stale && !team->is_head_open) {
+        team->head = team->open_head;
+        team->is_head_open = true;
+        organisation->is_stale = true;
+      }
+      team->is_head_stale = false;
     }
   }
 }
@@ -177,17 +184,16 @@
   }
   this->CountEnded(*job, tasks);
   this->RoomFreed();
-  if (end != TaskEnd::kReturned) {
-    job->ended += tasks;
-  } else if (!job->is_stopping) {
+  job->has_run = job->has_run || end != TaskEnd::kReturned;
+  const bool waits_again = end == TaskEnd::kReturned || end == TaskEnd::kRetry;
+  if (waits_again && !job->is_stopping) {
     this->RemoveWaiting(*job);
     job->waiting += tasks;
     this->InsertWaiting(*job);
   }
   if (job->running == 0 && job->waiting == 0) {
-    const bool is_not_started = job->is_stopping && job->ended == 0;
-    this->ForgetJob(id, is_not_started ? CancelOutcome::kNotStarted
-                                       : CancelOutcome::kFinished);
+    this->ForgetJob(id, job->has_run ? CancelOutcome::kFinished
+                                     : CancelOutcome::kNotStarted);
   }
   return true;
 }
@@ -222,7 +228,7 @@
     return CancelOutcome::kStopping;
   }
   const auto outcome =
-      job->ended > 0 ? CancelOutcome::kFinished : CancelOutcome::kNotStarted;
+      job->has_run ? CancelOutcome::kFinished : CancelOutcome::kNotStarted;
   this->ForgetJob(id, outcome);
   return outcome;
 }
--- a/libs/queueing/src/fair_queue_order.cc
+++ b/libs/queueing/src/fair_queue_order.cc
@@ -1,9 +1,12 @@
+#include <algorithm>
+
 #include "fair_queue_state.h"
 #include "rank.h"
 
 namespace shallotbank::queueing {
 
-auto FairQueue::State::Check(const Team& team, const JobGroup& group) const
+auto FairQueue::State::CheckLimits(const Team& team,
+                                   const JobGroup& group) const
     -> std::optional<WaitingReason> {
   if (team.organisation == nullptr) {
     return WaitingReason::kTeamNotInPolicy;
@@ -17,8 +20,14 @@
   if (!(team.running + team.held + group.start).FitsIn(team.limit)) {
     return WaitingReason::kTeamAtLimit;
   }
-  if (!group.shape->blocked) {
-    return std::nullopt;
+  return std::nullopt;
+}
+
+auto FairQueue::State::Check(const Team& team, const JobGroup& group) const
+    -> std::optional<WaitingReason> {
+  const auto reason = this->CheckLimits(team, group);
+  if (reason || !group.shape->blocked) {
+    return reason;
   }
   return *group.shape->blocked == BlockReason::kBehindReservation
              ? WaitingReason::kBehindReservation
@@ -30,49 +39,68 @@
          this->policy.urgent_allowance * team.entitlement;
 }
 
-auto FairQueue::State::FindFirst(Team& team, const TeamQueue::Order& order)
-    -> JobGroup* {
-  for (const auto& [first, group] : order) {
-    const auto reason = this->Check(team, *group);
-    if (!reason) {
-      return group;
+auto FairQueue::State::FindFirst(const Team& team,
+                                 const TeamQueue::Order& order,
+                                 bool with_blocked) const -> Head {
+  for (const auto& [first, item] : order) {
+    const bool is_skipped = !with_blocked && item.shape->blocked;
+    if (!is_skipped && !this->CheckLimits(team, *item.group)) {
+      return {item.group, item.shape, first, false};
     }
-    team.has_skipped_blocked =
-        team.has_skipped_blocked || group->shape->blocked.has_value();
   }
-  return nullptr;
+  return {};
 }
 
-auto FairQueue::State::FindHead(Team& team) -> void {
-  team.is_stale = false;
-  team.has_skipped_blocked = false;
-  team.head = nullptr;
-  team.is_urgent_first = false;
+auto FairQueue::State::FindHead(const Team& team, bool with_blocked) const
+    -> Head {
+  const auto open_shapes = team.queue.ShapeMask() & ~this->shapes.BlockedMask();
+  if (!with_blocked && open_shapes == 0) {
+    return {};
+  }
   if (this->IsWithinUrgentAllowance(team)) {
-    team.head = this->FindFirst(team, team.queue.Urgent());
-    team.is_urgent_first = team.head != nullptr;
+    auto head = this->FindFirst(team, team.queue.Urgent(), with_blocked);
+    if (head.group != nullptr) {
+      head.is_urgent_first = true;
+      return head;
+    }
+  }
+  return this->FindFirst(team, team.queue.All(), with_blocked);
+}
+
+auto FairQueue::State::UpdateHead(Team& team) -> void {
+  if (!team.is_stale && !team.is_head_stale) {
+    return;
   }
-  if (team.head == nullptr) {
-    team.head = this->FindFirst(team, team.queue.All());
+  if (team.is_stale) {
+    team.open_head = this->FindHead(team, true);
+    team.head = team.open_head;
+    team.is_head_open = true;
   }
-  if (team.head != nullptr) {
-    team.head_order = team.head->jobs.begin()->first;
+  if (team.head.shape != nullptr && team.head.shape->blocked) {
+    team.head = this->FindHead(team, false);
+    team.is_head_open = false;
   }
+  team.is_stale = false;
+  team.is_head_stale = false;
 }
 
 auto FairQueue::State::FirstTeam(Organisation& organisation, TimePoint now)
     -> Team* {
+  if (!organisation.is_stale && organisation.first_at == now) {
+    return organisation.first;
+  }
   FirstByRank<Team> first;
   for (auto* team : organisation.teams) {
-    if (team->is_stale) {
-      this->FindHead(*team);
-    }
-    if (team->head != nullptr) {
+    this->UpdateHead(*team);
+    if (team->head.group != nullptr) {
       first.Offer(team,
                   RankOf(this->policy.scoring, *team, team->use_ratio, now));
     }
   }
-  return first.Get();
+  organisation.first = first.Get();
+  organisation.first_at = now;
+  organisation.is_stale = false;
+  return organisation.first;
 }
 
 auto FairQueue::State::FirstTeam(TimePoint now) -> Team* {
@@ -118,7 +146,7 @@
   if (team == nullptr) {
     return std::nullopt;
   }
-  return this->ToCandidate(*team->head->jobs.begin()->second);
+  return this->ToCandidate(*team->head.group->jobs.begin()->second);
 }
 
 auto FairQueue::State::WhyWaiting(const JobId& id, TimePoint now)
@@ -140,14 +168,14 @@
     return reason;
   }
   const auto* first_of_organisation = this->FirstTeam(*team.organisation, now);
-  if (team.head->jobs.begin()->second != job) {
+  if (team.head.group->jobs.begin()->second != job) {
     return WaitingReason::kBehindOwnTeam;
   }
   const auto* first = this->FirstTeam(now);
   if (first == &team) {
     return WaitingReason::kNext;
   }
-  if (first->is_urgent_first && !team.is_urgent_first) {
+  if (first->head.is_urgent_first && !team.head.is_urgent_first) {
     return WaitingReason::kBehindUrgent;
   }
   return first_of_organisation == &team
@@ -166,7 +194,7 @@
       return nullptr;
     }
     const bool is_below_share = team.use_ratio < 1;
-    const auto enough = is_below_share
+    const auto enough = is_below_share && !job->accepted.is_gang
                             ? this->policy.reservation_after_below_share
                             : this->policy.reservation_after;
     if (waited < enough || (only_below_share && !is_below_share)) {
@@ -197,12 +225,12 @@
       if (!this->IsWithinUrgentAllowance(*team)) {
         continue;
       }
-      for (const auto& [order, group] : team->queue.Urgent()) {
-        const auto reason = this->Check(*team, *group);
+      for (const auto& [order, item] : team->queue.Urgent()) {
+        const auto reason = this->Check(*team, *item.group);
         if (reason == WaitingReason::kNoRoom) {
           const auto score = this->policy.scoring.Score(team->use_ratio,
                                                         now - order.submitted);
-          first.Offer(group->jobs.begin()->second, {true, score, order});
+          first.Offer(item.group->jobs.begin()->second, {true, score, order});
           break;
         }
       }
--- a/libs/queueing/src/fair_queue_policy.cc
+++ b/libs/queueing/src/fair_queue_policy.cc
@@ -62,7 +62,7 @@
 }
 
 auto FairQueue::State::UpdateUse(Team& team) -> void {
-  team.is_stale = true;
+  MarkStale(team);
   if (team.organisation == nullptr) {
     return;
   }
@@ -78,7 +78,7 @@
 auto FairQueue::State::SetHeld(const TeamId& id, const Amount& amount) -> void {
   auto& team = this->FindOrAddTeam(id);
   team.held = amount;
-  team.is_stale = true;
+  MarkStale(team);
 }
 
 auto FairQueue::State::SetLimit(const TeamId& id, const Amount& limit) -> bool {
@@ -88,7 +88,7 @@
     return false;
   }
   found->second->limit = limit;
-  found->second->is_stale = true;
+  MarkStale(*found->second);
   return true;
 }
 
--- a/libs/queueing/src/fair_queue_state.h
+++ b/libs/queueing/src/fair_queue_state.h
@@ -65,8 +65,14 @@
   // Why no job of the group may start now, or nothing.
   auto Check(const Team& team, const JobGroup& group) const
       -> std::optional<WaitingReason>;
-  auto FindFirst(Team& team, const TeamQueue::Order& order) -> JobGroup*;
-  auto FindHead(Team& team) -> void;
+  // Why no job of the group may start, blocked shapes aside.
+  auto CheckLimits(const Team& team, const JobGroup& group) const
+      -> std::optional<WaitingReason>;
+  auto FindFirst(const Team& team,
+                 const TeamQueue::Order& order,
+                 bool with_blocked) const -> Head;
+  auto FindHead(const Team& team, bool with_blocked) const -> Head;
+  auto UpdateHead(Team& team) -> void;
   auto IsWithinUrgentAllowance(const Team& team) const -> bool;
   auto FirstTeam(Organisation& organisation, TimePoint now) -> Team*;
   auto FirstTeam(TimePoint now) -> Team*;
--- a/libs/queueing/src/rank.h
+++ b/libs/queueing/src/rank.h
@@ -27,9 +27,9 @@
 template <Scoring S>
 auto RankOf(const S& scoring, const Team& team, double use_ratio, TimePoint now)
     -> Rank {
-  const auto& order = team.head_order;
-  return {team.is_urgent_first, scoring.Score(use_ratio, now - order.submitted),
-          order};
+  const auto& order = team.head.order;
+  return {team.head.is_urgent_first,
+          scoring.Score(use_ratio, now - order.submitted), order};
 }
 
 /// Keeps the item that comes first of those offered.
--- a/libs/queueing/src/shape_table.cc
+++ b/libs/queueing/src/shape_table.cc
@@ -34,10 +34,10 @@
   entry.references++;
   if (is_new) {
     entry.key = key;
+    entry.mask = this->TakeMask();
     for (const auto& refusal : this->refused) {
       if (NeedsAtLeast(key, refusal.key)) {
-        entry.blocked = refusal.reason;
-        this->blocked.push_back(key);
+        this->MarkBlocked(entry, refusal.reason);
         break;
       }
     }
@@ -45,9 +45,24 @@
   return &entry;
 }
 
+auto ShapeTable::TakeMask() -> std::uint64_t {
+  const auto free = ~this->used_mask & ~kSharedBit;
+  const auto mask = free == 0 ? kSharedBit : free & (~free + 1);
+  this->used_mask |= mask & ~kSharedBit;
+  return mask;
+}
+
+auto ShapeTable::MarkBlocked(Entry& entry, BlockReason reason) -> void {
+  entry.blocked = reason;
+  this->blocked.push_back(entry.key);
+  this->blocked_mask |= entry.mask & ~kSharedBit;
+}
+
 auto ShapeTable::Release(Entry* entry) -> void {
   if (--entry->references == 0) {
     const auto key = entry->key;
+    this->used_mask &= ~entry->mask;
+    this->blocked_mask &= ~entry->mask;
     this->entries.erase(key);
   }
 }
@@ -56,8 +71,7 @@
   this->refused.push_back({key, reason});
   for (auto& [other, entry] : this->entries) {
     if (!entry.blocked && NeedsAtLeast(other, key)) {
-      entry.blocked = reason;
-      this->blocked.push_back(other);
+      this->MarkBlocked(entry, reason);
     }
   }
 }
@@ -74,6 +88,7 @@
     }
   }
   this->blocked.clear();
+  this->blocked_mask = 0;
   return true;
 }
 
--- a/libs/queueing/src/shape_table.h
+++ b/libs/queueing/src/shape_table.h
@@ -29,6 +29,7 @@
     ShapeKey key;
     std::size_t references = 0;
     std::optional<BlockReason> blocked;
+    std::uint64_t mask = 0;  // One bit; the last one is shared by all others.
   };
 
   auto Acquire(const ShapeKey& key) -> Entry*;
@@ -37,6 +38,8 @@
   auto Block(const ShapeKey& key, BlockReason reason) -> void;
   /// False if nothing was blocked.
   auto UnblockAll() -> bool;
+  /// The bits of blocked shapes; the shared bit is never among them.
+  auto BlockedMask() const -> std::uint64_t { return this->blocked_mask; }
 
  private:
   struct Refused {
@@ -44,6 +47,13 @@
     BlockReason reason = BlockReason::kNoRoom;
   };
 
+  static constexpr std::uint64_t kSharedBit = std::uint64_t{1} << 63;
+
+  auto TakeMask() -> std::uint64_t;
+  auto MarkBlocked(Entry& entry, BlockReason reason) -> void;
+
+  std::uint64_t used_mask = 0;
+  std::uint64_t blocked_mask = 0;
   std::unordered_map<ShapeKey, Entry, ShapeKeyHash> entries;
   std::vector<Refused> refused;
   std::vector<ShapeKey> blocked;
--- a/libs/queueing/src/team_queue.cc
+++ b/libs/queueing/src/team_queue.cc
@@ -9,6 +9,7 @@
   auto& group = found->second;
   if (is_new) {
     group.shape = shape;
+    this->shape_mask |= shape->mask;
     group.is_urgent = job.accepted.is_urgent;
     group.start = {Times(job.accepted.need, job.StartTasks()),
                    job.StartTasks()};
@@ -46,6 +47,10 @@
   auto* shape = group.shape;
   this->groups.erase({shape, group.is_urgent});
   this->shapes->Release(shape);
+  this->shape_mask = 0;
+  for (const auto& [key, other] : this->groups) {
+    this->shape_mask |= other.shape->mask;
+  }
 }
 
 auto TeamQueue::Unlink(const JobGroup& group) -> void {
@@ -61,9 +66,9 @@
 
 auto TeamQueue::Link(JobGroup& group) -> void {
   const auto& first = group.jobs.begin()->first;
-  this->all.emplace(first, &group);
+  this->all.emplace(first, Item{&group, group.shape});
   if (group.is_urgent) {
-    this->urgent.emplace(first, &group);
+    this->urgent.emplace(first, Item{&group, group.shape});
   }
 }
 
--- a/libs/queueing/src/team_queue.h
+++ b/libs/queueing/src/team_queue.h
@@ -37,7 +37,7 @@
   JobOrder order;
   std::int64_t waiting = 0;
   std::int64_t running = 0;
-  std::int64_t ended = 0;
+  bool has_run = false;  // True unless certainly no task ran.
   bool is_stopping = false;
   bool is_apart = false;  // Blocked once for reasons of its own.
   // Since when smaller work overtakes this job.
@@ -65,7 +65,11 @@
 /// those that are alike.
 class TeamQueue {
  public:
-  using Order = std::map<JobOrder, JobGroup*>;
+  struct Item {
+    JobGroup* group = nullptr;
+    const ShapeTable::Entry* shape = nullptr;
+  };
+  using Order = std::map<JobOrder, Item>;
 
   explicit TeamQueue(ShapeTable& shapes) : shapes(&shapes) {}
 
@@ -76,6 +80,8 @@
   auto All() const -> const Order& { return this->all; }
   auto Urgent() const -> const Order& { return this->urgent; }
   auto Jobs() const -> std::size_t { return this->jobs; }
+  /// The mask bits of the shapes of all groups.
+  auto ShapeMask() const -> std::uint64_t { return this->shape_mask; }
 
  private:
   // The shape and whether the jobs are urgent.
@@ -88,23 +94,32 @@
   std::map<GroupKey, JobGroup> groups;
   Order all;
   Order urgent;
+  std::uint64_t shape_mask = 0;
   std::size_t jobs = 0;
 };
 
 struct Organisation;
 
+/// The first job of a team that may start.
+struct Head {
+  JobGroup* group = nullptr;  // Null if no job may start.
+  const ShapeTable::Entry* shape = nullptr;
+  JobOrder order;
+  bool is_urgent_first = false;  // Goes before all normal work.
+};
+
 /// A team with its policy, what it runs and what it waits for.
 struct Team {
   Team(TeamId team_id, ShapeTable& shapes)
       : id(std::move(team_id)), queue(shapes) {}
 
   // What a decision reads of every team comes first, to share cache lines.
-  bool is_stale = true;          // `head` has to be found again.
-  bool is_urgent_first = false;  // `head` goes before all normal work.
-  bool has_skipped_blocked = false;
-  double use_ratio = 0;  // Dominant share / entitlement.
-  JobGroup* head = nullptr;
-  JobOrder head_order;
+  Head head;
+  double use_ratio = 0;        // Dominant share / entitlement.
+  bool is_stale = true;        // `head` and `open_head` have to be found again.
+  bool is_head_stale = false;  // Only `head` has to be found again.
+  bool is_head_open = true;    // `head` equals `open_head`.
+  Head open_head;              // As if no shape were blocked.
 
   TeamId id;
   Organisation* organisation = nullptr;  // Null if not in the policy.
@@ -122,6 +137,18 @@
   double use_ratio = 0;
   Resources running;
   std::vector<Team*> teams;
+  // The first team, as found for decisions at `first_at`.
+  Team* first = nullptr;
+  TimePoint first_at;
+  bool is_stale = true;
 };
 
+/// Notes that something changed which the head of the team depends on.
+inline auto MarkStale(Team& team) -> void {
+  team.is_stale = true;
+  if (team.organisation != nullptr) {
+    team.organisation->is_stale = true;
+  }
+}
+
 }  // namespace shallotbank::queueing
