Ignore a reservation for a job that does not wait

SetReserved kept the id of a job that had ended or was never seen, and ReservationDue then named no job again until the caller cleared it. Such an id now counts as none. The unit test for overtaken gangs covers it, and the comparison with the naive version, which has the same rule, passes in debug and asan.

--- a/libs/queueing/include/queueing/fair_queue.h
+++ b/libs/queueing/include/queueing/fair_queue.h
@@ -73,7 +73,8 @@
   /// enough for a reservation and no job holds one.
   auto ReservationDue(TimePoint now) const -> std::optional<JobId>;
   /// Notes the job that room is being gathered for; it is offered first in each
-  /// pass. Cleared when the job starts, ends or is cancelled.
+  /// pass. Cleared when the job starts, ends or is cancelled; a job that does
+  /// not wait is not noted.
   auto SetReserved(const std::optional<JobId>& job) -> void;
   /// Advice only while urgent work within its allowance, or a starved job of a
   /// team below its share, has no room.
--- a/libs/queueing/src/fair_queue_jobs.cc
+++ b/libs/queueing/src/fair_queue_jobs.cc
@@ -249,7 +249,9 @@
 }
 
 auto FairQueue::State::SetReserved(const std::optional<JobId>& id) -> void {
-  this->reserved = id;
+  const auto* job = id ? this->FindJob(*id) : nullptr;
+  const bool is_waiting = job != nullptr && job->group != nullptr;
+  this->reserved = is_waiting ? id : std::nullopt;
 }
 
 }  // namespace shallotbank::queueing
--- a/libs/queueing/tests/fair_queue_test.cc
+++ b/libs/queueing/tests/fair_queue_test.cc
@@ -116,6 +116,8 @@
   BOOST_TEST(queue.Started(JobId("small"), kStart));
   BOOST_TEST(!queue.ReservationDue(kStart + seconds(29)));
   BOOST_TEST((queue.ReservationDue(kStart + seconds(30)) == JobId("gang")));
+  queue.SetReserved(JobId("unknown"));
+  BOOST_TEST((queue.ReservationDue(kStart + seconds(30)) == JobId("gang")));
   queue.SetReserved(JobId("gang"));
   BOOST_TEST(!queue.ReservationDue(kStart + seconds(30)));
   BOOST_TEST(Why(queue, "gang") == WaitingReason::kHoldsReservation);
--- a/libs/queueing/tests/naive_queue.h
+++ b/libs/queueing/tests/naive_queue.h
@@ -134,7 +134,8 @@
   }
 
   auto SetReserved(const std::optional<JobId>& id) -> void {
-    this->reserved = id;
+    const bool is_waiting = id && this->Get(*id).waiting > 0;
+    this->reserved = is_waiting ? id : std::nullopt;
   }
 
   auto WhyWaiting(const JobId& id, TimePoint now)
