--- a/libs/journal/include/journal/claim_table.h
+++ b/libs/journal/include/journal/claim_table.h
@@ -31,7 +31,7 @@
   }
 
   auto Apply(const Claim& record, Offset offset, WallTime at) -> RecordOutcome;
-  auto Apply(const Release& record) -> RecordOutcome;
+  auto Apply(const Release& record, Offset offset) -> RecordOutcome;
   auto Save(const SnapshotSink& sink) const -> void;
   auto Load(const nlohmann::json& item) -> bool;
 
--- a/libs/journal/include/journal/records.h
+++ b/libs/journal/include/journal/records.h
@@ -101,7 +101,7 @@
   auto operator==(const Claim&) const -> bool = default;
 };
 
-/// Valid if `owner` holds the resource at `epoch`.
+/// Valid if `owner` holds the resource at `epoch`, since an earlier batch.
 struct Release {
   ResourceId resource;
   ProcessId owner;
--- a/libs/journal/src/claim_table.cc
+++ b/libs/journal/src/claim_table.cc
@@ -17,7 +17,8 @@
 
 auto ClaimTable::Apply(const Claim& record, Offset offset, WallTime at)
     -> RecordOutcome {
-  if (record.supersedes != this->EpochOf(record.resource)) {
+  if (record.supersedes != this->EpochOf(record.resource) ||
+      (offset > 0 && record.supersedes == offset)) {
     return Invalid("superseded");
   }
   // The epoch 0 means that nobody owns the resource.
@@ -29,12 +30,16 @@
   return kValid;
 }
 
-auto ClaimTable::Apply(const Release& record) -> RecordOutcome {
+auto ClaimTable::Apply(const Release& record, Offset offset) -> RecordOutcome {
   const auto* ownership = this->Find(record.resource);
   if (ownership == nullptr || ownership->epoch != record.epoch ||
       ownership->owner != record.owner) {
     return Invalid("not_owner");
   }
+  // Else a second claim in the same batch would have the same epoch.
+  if (record.epoch == offset) {
+    return Invalid("same_offset");
+  }
   this->claims.erase(record.resource);
   return kValid;
 }
--- a/libs/journal/src/configuration_table.cc
+++ b/libs/journal/src/configuration_table.cc
@@ -38,7 +38,10 @@
 
 auto ConfigurationTable::Apply(const ConfigurationChanged& record,
                                Offset offset) -> RecordOutcome {
-  if (record.expected_version != this->version) {
+  // Nobody can have read the version that the own batch makes, so of several
+  // changes in a batch only the first can be valid.
+  if (record.expected_version != this->version ||
+      (offset > 0 && record.expected_version == offset)) {
     return Invalid("stale_version");
   }
   // The version 0 means that there is no configuration yet.
--- a/libs/journal/src/replica_state.cc
+++ b/libs/journal/src/replica_state.cc
@@ -38,7 +38,7 @@
     return claims.Apply(record, offset, batch.written_at);
   }
   auto operator()(const Release& record) -> RecordOutcome {
-    return claims.Apply(record);
+    return claims.Apply(record, offset);
   }
   auto operator()(const RequestIntent& record) -> RecordOutcome {
     return requests.Apply(record, batch.writer, log_time);
--- a/libs/ownership/tests/claim_planner_test.cc
+++ b/libs/ownership/tests/claim_planner_test.cc
@@ -116,7 +116,8 @@
             this->offset, {});
       } else {
         this->claims.Apply(journal::Release{append.step.resource,
-                                            append.process, append.step.epoch});
+                                            append.process, append.step.epoch},
+                           this->offset);
       }
     }
   }
