--- a/apps/client/cell_commands.cc
+++ b/apps/client/cell_commands.cc
@@ -1,7 +1,11 @@
+#include <cstdlib>
+#include <cstring>
 #include <iomanip>
+#include <map>
 #include <sstream>
 
 #include "command.h"
+#include "convergence.h"
 #include "table.h"
 
 namespace shallotbank::client {
@@ -11,6 +15,7 @@
 using nlohmann::json;
 
 constexpr const char* kMinionGroupPrefix = "minion-group-";
+constexpr int kDecimal = 10;
 
 auto Fetch(Session& session, const std::string& path) -> leaf::result<json> {
   BOOST_LEAF_AUTO(headers, OperatorHeaders(session.options));
@@ -53,6 +58,9 @@
 }
 
 auto HostState(const json& host) -> std::string {
+  if (IsStopped(host)) {
+    return "stopped";
+  }
   if (host.value("suspected", false)) {
     return "suspected, silent for " + TextOf(host, "silence_ms") + " ms";
   }
@@ -67,7 +75,11 @@
   }
   Table table({"HOST", "ROLE", "DOMAIN", "HTTP", "LOG HEAD", "LOG AGE", "STATE",
                "OWNS"});
-  for (const auto& host : answer.value("hosts", json::array())) {
+  const auto all = answer.value("hosts", json::array());
+  for (const auto& host : all) {
+    if (IsReplaced(host, all)) {
+      continue;
+    }
     table.Add({TextOf(host, "host"), TextOf(host, "role"),
                TextOf(host, "domain"), TextOf(host, "http"),
                TextOf(host, "log_head"), TextOf(host, "log_age_ms") + " ms",
@@ -140,14 +152,21 @@
 // Entry hosts do not list minions yet; this shows who owns each minion group.
 auto Minions(Session& session) -> leaf::result<void> {
   BOOST_LEAF_AUTO(answer, Fetch(session, "/v1/hosts"));
-  std::map<std::string, std::vector<std::string>> groups;
+  std::map<std::size_t, std::vector<std::string>> groups;
   auto list = json::array();
-  for (const auto& host : answer.value("hosts", json::array())) {
+  const auto all = answer.value("hosts", json::array());
+  for (const auto& host : all) {
+    if (IsReplaced(host, all)) {
+      continue;
+    }
     for (const auto& entry : host.value("owned", json::array())) {
       const auto resource = TextOf(entry, "resource");
       if (resource.starts_with(kMinionGroupPrefix)) {
-        groups[resource] = {resource, TextOf(host, "host"),
-                            TextOf(entry, "epoch"), HostState(host)};
+        const auto number =
+            std::strtoul(resource.c_str() + std::strlen(kMinionGroupPrefix),
+                         nullptr, kDecimal);
+        groups[number] = {resource, TextOf(host, "host"),
+                          TextOf(entry, "epoch"), HostState(host)};
         list.push_back({{"group", resource},
                         {"owner", TextOf(host, "host")},
                         {"epoch", entry.value("epoch", json())},
@@ -160,7 +179,7 @@
     return {};
   }
   Table table({"GROUP", "OWNER", "EPOCH", "STATE OF OWNER"});
-  for (const auto& [name, row] : groups) {
+  for (const auto& [number, row] : groups) {
     table.Add(row);
   }
   table.Print(session.out);
@@ -174,7 +193,8 @@
            .arguments = "",
            .summary = "Lists the daemons, what they own and how far they have "
                       "read the log.",
-           .details = "",
+           .details = "The table leaves out the past of processes that were "
+                      "started again.\n",
            .flags = {"operator-key-file"},
            .run = Hosts},
           {.name = "workers",
--- a/apps/client/convergence.cc
+++ b/apps/client/convergence.cc
@@ -11,6 +11,14 @@
 
 constexpr std::chrono::seconds kDefaultWait{30};
 constexpr std::chrono::milliseconds kPollInterval{100};
+// An entry host that has read neither the log nor from a peer for this time
+// refuses keyed work.
+constexpr std::chrono::milliseconds kIsolated{3000};
+
+auto Silence(const json& process) -> std::chrono::milliseconds {
+  return std::chrono::milliseconds(
+      process.value("silence_ms", std::int64_t{0}));
+}
 
 auto DescribeLaggard(const json& host) -> std::string {
   auto text = TextOf(host, "host") + " (at " + TextOf(host, "log_head");
@@ -20,25 +28,14 @@
   return text + ")";
 }
 
-// A process that was started again stays in the list for a while under its old
-// id.
-auto IsReplaced(const json& host, const json& all) -> bool {
-  return host.value("suspected", false) &&
-         std::any_of(all.begin(), all.end(), [&host](const json& other) {
-           return !other.value("suspected", false) &&
-                  TextOf(other, "role") == TextOf(host, "role") &&
-                  TextOf(other, "host") == TextOf(host, "host");
-         });
-}
-
 // The hosts below `version`; empty if there are none.
 auto Laggards(const json& answer, Offset version) -> std::string {
   std::string names;
   const auto all = answer.value("hosts", json::array());
   for (const auto& host : all) {
     const bool is_entry = TextOf(host, "role") == "entry";
-    if (is_entry && !IsReplaced(host, all) &&
-        host.value("log_head", Offset{0}) < version) {
+    const bool is_gone = IsReplaced(host, all) || IsStopped(host);
+    if (is_entry && !is_gone && host.value("log_head", Offset{0}) < version) {
       names += (names.empty() ? "" : ", ") + DescribeLaggard(host);
     }
   }
@@ -47,6 +44,20 @@
 
 }  // namespace
 
+auto IsReplaced(const json& process, const json& all) -> bool {
+  return process.value("suspected", false) &&
+         std::any_of(all.begin(), all.end(), [&process](const json& other) {
+           return Silence(other) < Silence(process) &&
+                  TextOf(other, "role") == TextOf(process, "role") &&
+                  TextOf(other, "host") == TextOf(process, "host");
+         });
+}
+
+auto IsStopped(const json& process) -> bool {
+  return process.value("suspected", false) &&
+         process.value("draining", false) && Silence(process) >= kIsolated;
+}
+
 auto WaitForVersion(Session& session, Offset version) -> leaf::result<void> {
   BOOST_LEAF_AUTO(headers, OperatorHeaders(session.options));
   const SystemClock clock;
--- a/apps/client/entry_client.cc
+++ b/apps/client/entry_client.cc
@@ -60,6 +60,9 @@
 }
 
 auto NextStep(const EntryRefusal& refusal, int status) -> std::string {
+  if (refusal.verdict == Verdict::kRan) {
+    return "the work was done; do not repeat it";
+  }
   if (refusal.reason == "version_conflict") {
     return "read the configuration again (shallotbank show) and repeat";
   }
@@ -70,6 +73,10 @@
   if (refusal.reason == "missing_header") {
     return "give --team and set SHALLOTBANK_KEY";
   }
+  if (refusal.reason == "no_owner") {
+    return "a scheduler takes over within seconds unless the log is down; see "
+           "shallotbank hosts";
+  }
   if (refusal.reason == "invalid_operator_key") {
     return "check SHALLOTBANK_OPERATOR_KEY";
   }
@@ -77,7 +84,10 @@
     return "nothing has happened; try again later or through another entry "
            "host (--entry URL,URL)";
   }
-  return "";
+  return status == kNotFound
+             ? "check the name; shallotbank list shows jobs, shallotbank show "
+               "profiles and teams"
+             : "nothing has happened; correct what the message names";
 }
 
 auto StatusOf(const EntryRefusal& refusal, int status) -> ExitStatus {
@@ -90,7 +100,8 @@
   if (refusal.verdict == Verdict::kRan) {
     return ExitStatus::kFailed;
   }
-  return status == kNotFound ? ExitStatus::kNotFound : ExitStatus::kNotRun;
+  const bool is_missing = status == kNotFound && refusal.reason != "no_owner";
+  return is_missing ? ExitStatus::kNotFound : ExitStatus::kNotRun;
 }
 
 auto MayHaveRunStep(const EntryRequest& request) -> std::string {
--- a/apps/client/job_commands.cc
+++ b/apps/client/job_commands.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <thread>
 
 #include "command.h"
@@ -49,10 +50,16 @@
   return text.empty() ? TextOf(tasks, "total") + " in all" : text;
 }
 
+// Each worker once, with the number of tasks that it runs.
 auto WorkersText(const json& job) -> std::string {
-  std::string text;
+  std::map<std::string, int> tasks;
   for (const auto& worker : job.value("workers", json::array())) {
-    text += (text.empty() ? "" : ",") + worker.get<std::string>();
+    tasks[worker.get<std::string>()]++;
+  }
+  std::string text;
+  for (const auto& [worker, count] : tasks) {
+    text += (text.empty() ? "" : ", ") + worker;
+    text += count > 1 ? " (" + std::to_string(count) + ")" : "";
   }
   return text;
 }
@@ -141,7 +148,8 @@
       if (TextOf(job, "state") == "succeeded") {
         return {};
       }
-      return Fail(ExitStatus::kFailed, "the job has " + TextOf(job, "state"));
+      return Fail(ExitStatus::kFailed,
+                  "the job ended as " + TextOf(job, "state"));
     }
     if (clock.Now() >= limit) {
       PrintJob(session, job);
@@ -194,6 +202,8 @@
                TasksText(job)});
   }
   table.Print(session.out);
+  session.err << "states are those in the log; shallotbank status JOB also "
+                 "says what runs\n";
   return {};
 }
 
--- a/apps/client/run_client.cc
+++ b/apps/client/run_client.cc
@@ -116,6 +116,12 @@
         return 0;
       },
       [&err](const Failure& failure) { return Report(failure, err); },
+      [&err](leaf::catch_<nlohmann::json::exception>) {
+        return Report(
+            {ExitStatus::kFailed, "an answer does not have the expected form",
+             "use the client of the release that the hosts run"},
+            err);
+      },
       [&err] {
         return Report({ExitStatus::kFailed, "unexpected error", ""}, err);
       });
--- a/apps/client/tests/output_test.cc
+++ b/apps/client/tests/output_test.cc
@@ -64,5 +64,13 @@
              static_cast<int>(ExitStatus::kNotRun));
 }
 
+// Guards against an answer of another release that ends the client.
+BOOST_AUTO_TEST_CASE(AnswerOfAnotherFormIsReported) {
+  FakeEntry entry({{200, {}, R"({"hosts":[{"owned":7,"suspected":"no"}]})"}});
+  const auto run = Run(entry.Url(), {"hosts"});
+  BOOST_TEST(run.code == static_cast<int>(ExitStatus::kFailed));
+  BOOST_TEST(run.err.find("expected form") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace shallotbank::client
--- a/apps/client/tests/publish_test.cc
+++ b/apps/client/tests/publish_test.cc
@@ -128,6 +128,34 @@
   }
 }
 
+// Guards against waiting for a process that has ended, and against not waiting
+// for one that is only silent.
+BOOST_AUTO_TEST_CASE(WaitLeavesOutEndedProcesses) {
+  auto process = [](const char* host, bool draining, int silence) {
+    return json{{"host", host},         {"role", "entry"},
+                {"log_head", 1},        {"suspected", true},
+                {"draining", draining}, {"silence_ms", silence}};
+  };
+  auto restarted = process("e2", false, 0);
+  restarted["suspected"] = false;
+  restarted["log_head"] = 50;
+  const auto answer = [](const json& hosts) {
+    return http::Response{200, {}, json{{"hosts", hosts}}.dump()};
+  };
+  FakeEntry ended({Published(Example(), 41),
+                   {200, {}, R"({"version":42})"},
+                   answer({process("e1", true, 3000),
+                           process("e2", false, 5000), restarted})});
+  const auto done = Run(ended.Url(), {"withdraw", "--wait", "serra-shop-2026"});
+  BOOST_TEST(done.code == 0, done.err);
+  FakeEntry silent({Published(Example(), 41),
+                    {200, {}, R"({"version":42})"},
+                    answer(json::array({process("e1", false, 60'000)}))});
+  const auto late = Run(silent.Url(), {"withdraw", "--wait", "--timeout",
+                                       "200ms", "serra-shop-2026"});
+  BOOST_TEST(late.code == static_cast<int>(ExitStatus::kTimeout));
+}
+
 // Guards against a withdrawal that is reported in force while an entry host
 // still accepts the key. The scheduler's head does not matter.
 BOOST_AUTO_TEST_CASE(WaitNamesTheHostsBehind) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -249,7 +249,7 @@
 }
 
 # The number of the host whose scheduler owns the shard.
-shard_owner() { operator hosts 2>/dev/null | awk '$2 == "sched" && /shard-0/ {print substr($1, 5); exit}'; }
+shard_owner() { operator hosts 2>/dev/null | awk '$2 == "sched" && / up .*shard-0/ {print substr($1, 5); exit}'; }
 has_shard_owner() { [ -n "$(shard_owner)" ]; }
 state_of() { team status "$1" | awk '$1 == "state" {print $2}'; }
 has_state() { [ "$(state_of "$1")" = "$2" ]; }
