Build the client in the release preset

g++ 12 at -O2 reports a false overlap (-Wrestrict) for the assignment of a one character literal to a string, and warnings are errors. push_back avoids it. The release preset now builds; before, table.cc failed there.

--- a/apps/client/table.cc
+++ b/apps/client/table.cc
@@ -17,7 +17,7 @@
   row.resize(this->rows.front().size());
   for (auto& cell : row) {
     if (cell.empty()) {
-      cell = "-";
+      cell.push_back('-');
     }
   }
   this->rows.push_back(std::move(row));
