--- /dev/null
+++ b/scripts/check_docs.sh
@@ -0,0 +1,470 @@
+#!/usr/bin/env bash
+# Backticks mark names on the pages.
+# shellcheck disable=SC2016
+# Compares docs/EVENTS.md, SETTINGS.md, COUNTERS.md, ALERTS.md and GLOSSARY.md
+# with the sources: fails if something exists on one side only. The first
+# argument is the tree to check (default: the one of this script).
+set -euo pipefail
+export LC_ALL=C
+cd "${1:-$(dirname "$0")/..}"
+
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+flat=$work/flat
+faults=0
+
+fault() {
+  echo "check_docs: $*" >&2
+  faults=$((faults + 1))
+}
+
+# One line a source file: path, tab, text without comments and line breaks, so
+# that a name is found wherever clang-format has broken the line.
+flatten() {
+  local file
+  while read -r file; do
+    printf '%s\t' "$file"
+    sed -E 's@^[[:space:]]*//.*@@; s@  //.*@@' "$file" | tr -s '\n\t ' ' ' |
+      sed -E 's/" "//g; s/([({]) /\1/g; s/ ([)}])/\1/g'
+    echo
+  done < <(grep -rl '' apps libs --include='*.cc' --include='*.h' \
+    --exclude='*.capnp.*' --exclude-dir=tests --exclude-dir=benchmarks | sort)
+}
+
+# Calls that match the regular expression $1, which ends with the opening
+# parenthesis: path, tab, the match, and one column for each argument.
+calls() {
+  awk -F '\t' -v start="$1" '{
+    text = $2
+    while (match(text, start)) {
+      out = $1 "\t" substr(text, RSTART, RLENGTH) "\t"
+      text = substr(text, RSTART + RLENGTH)
+      depth = 1
+      quoted = 0
+      for (i = 1; i <= length(text); i++) {
+        c = substr(text, i, 1)
+        if (quoted) {
+          if (c == "\\") { out = out c; i++; c = substr(text, i, 1) }
+          else if (c == "\"") quoted = 0
+        } else if (c == "\"") quoted = 1
+        else if (c == "(" || c == "{") depth++
+        else if (c == ")" || c == "}") { if (--depth == 0) break }
+        else if (c == "," && depth == 1) {
+          out = out "\t"
+          if (substr(text, i + 1, 1) == " ") i++
+          continue
+        }
+        out = out c
+      }
+      print out
+    }
+  }' "$flat"
+}
+
+# The flat text of the files whose path matches $1.
+text_of() { awk -F '\t' -v path="$1" '$1 ~ path { print $2 }' "$flat"; }
+
+# What the regular expression $1 finds in the input, then the last literal of
+# each match.
+literals() { { grep -oE "$1" || true; } | sed -E 's/^.*"([^"]*)"[^"]*$/\1/' | sort -u; }
+
+# The names that the function of file $1 whose first line contains $2 returns.
+returned() {
+  awk -v mark="$2" 'index($0, mark) { on = 1 } on { print } on && /^}/ { exit }' "$1" |
+    literals '(return|Invalid)[ (]"[a-z_-]+"' | sed '/^unknown$/d'
+}
+
+# Table rows below the heading of file $1 that matches $2, up to the next
+# heading; cells are separated by tabs.
+rows() {
+  awk -v heading="$2" '
+    /^#/ { on = ($0 ~ heading) }
+    on && /^\| *`|^\| *[0-9]/ {
+      gsub(/^\| *| *\|$/, "")
+      gsub(/ *\| */, "\t")
+      print
+    }' "$1"
+}
+
+backticked() { { grep -oE '`[^`]+`' || true; } | tr -d '`' | sort -u; }
+
+# Compares two sorted lists: $1 is the code, $2 the page $3, of things called $4.
+compare() {
+  local line
+  while read -r line; do
+    fault "$3 does not have $4 '$line' of the code"
+  done < <(comm -23 "$1" "$2")
+  while read -r line; do
+    fault "$3 has $4 '$line', which the code does not have"
+  done < <(comm -13 "$1" "$2")
+}
+
+# Fails if the list $1 of the code, called $2, is empty: then this script no
+# longer understands the sources.
+expect_some() {
+  [ -s "$1" ] || fault "no $2 found in the code; the search no longer fits the sources"
+}
+
+check_events() {
+  local page=docs/EVENTS.md log=libs/base
+  text_of "^$log/include/base/log[.]h$" | { grep -oE '\bk[A-Za-z]+ = [0-9]+' || true; } |
+    sed 's/ = / /' | sort >"$work/numbers"
+  text_of "^$log/src/log[.]cc$" |
+    { grep -oE 'EventEntry\{Event::k[A-Za-z]+, Severity::k[A-Za-z]+, "[a-z-]+"' || true; } |
+    sed -E 's/.*Event::(k[A-Za-z]+), Severity::k([A-Za-z]+), "([a-z-]+)"/\1 \3 \2/' |
+    sort >"$work/entries"
+  expect_some "$work/numbers" "numbers of events"
+  expect_some "$work/entries" "entries of events"
+  compare <(cut -d ' ' -f 1 "$work/numbers") <(cut -d ' ' -f 1 "$work/entries") \
+    "kEvents in $log/src/log.cc" "the event"
+  # Fields of each event, over all call sites; a call may choose between events.
+  calls 'LogEvent[(]' | { grep 'Event::k' || true; } | awk -F '\t' '{
+    fields = ""
+    rest = $0
+    sub(/^[^\t]*\t[^\t]*\t[^\t]*\t/, "", rest)
+    if (rest != $0) {
+      while (match(rest, /[{]"[a-z_]+",/)) {
+        fields = fields " " substr(rest, RSTART + 2, RLENGTH - 4)
+        rest = substr(rest, RSTART + RLENGTH)
+      }
+    }
+    while (match($3, /Event::k[A-Za-z]+/)) {
+      print substr($3, RSTART + 7, RLENGTH - 7) fields
+      $3 = substr($3, RSTART + RLENGTH)
+    }
+  }' | sort >"$work/emitted"
+  expect_some "$work/emitted" "calls of LogEvent"
+  join "$work/numbers" "$work/entries" | while read -r event number name severity; do
+    fields=$(awk -v event="$event" '$1 == event { for (i = 2; i <= NF; i++) print $i }' \
+      "$work/emitted" | sort -u | paste -sd ' ' -)
+    if ! grep -qE "^$event( |$)" "$work/emitted"; then
+      fields="not emitted"
+    fi
+    echo "$number $name ${severity,,}: $fields"
+  done | sort >"$work/code"
+  rows "$page" 'Events' | while IFS=$'\t' read -r number name severity fields _; do
+    case $fields in
+      *"not emitted"*) fields="not emitted" ;;
+      *) fields=$(backticked <<<"$fields" | paste -sd ' ' -) ;;
+    esac
+    name=${name//\`/}
+    echo "$number $name $severity: $fields"
+  done | sort >"$work/page"
+  compare "$work/code" "$work/page" "$page" "the event"
+  cut -d ' ' -f 2 "$work/numbers" | sort >"$work/event_numbers"
+  join "$work/numbers" "$work/entries" | awk '{ print $3 " (" $2 ")" }' | sort >"$work/event_names"
+}
+
+# The value of a whole number as written in the sources.
+number_of() {
+  local text=${1//\'/}
+  text=${text##*::}
+  if [[ $text =~ ^k[A-Za-z0-9]+$ ]]; then
+    text=$(cut -f 2 "$flat" | { grep -oE "constexpr [A-Za-z0-9_:]+ $text = [^;]+;" || true; } |
+      head -n 1 | sed -E "s/.* = ([^;]+);/\1/; s/'//g")
+  fi
+  if [[ $text =~ ^[-0-9\ \<*+]+$ ]]; then
+    echo $((text))
+  else
+    echo "unreadable($1)"
+  fi
+}
+
+time_of() {
+  local number
+  number=$(sed -E 's/.*\(([0-9'"'"']+)\)/\1/' <<<"$1" | tr -d "'")
+  case $1 in
+    std::chrono::milliseconds\(*) echo "${number}ms" ;;
+    std::chrono::seconds\(*) echo "$((number * 1000))ms" ;;
+    std::chrono::minutes\(*) echo "$((number * 60000))ms" ;;
+    *) echo "unreadable($1)" ;;
+  esac
+}
+
+# Declarations of settings: path, flag, default, values.
+declared_settings() {
+  calls '[.](Text|RequiredText|Integer|Time)[(]' | grep -F -f <(awk -F '\t' '$2 ~ /SettingsBuilder/ { print $1 "\t" }' "$flat") | while IFS=$'\t' read -r file method name a b c _; do
+    [ -n "$a" ] || continue # Reads a setting.
+    [[ $name == \"*\" ]] || continue
+    name=${name//\"/}
+    case $method in
+      *RequiredText*) echo "$file $name none text" ;;
+      *Text*) a=${a//\"/} && echo "$file $name ${a:-empty} text" ;;
+      *Integer*) echo "$file $name $(number_of "$a") $(number_of "$b") to $(number_of "$c")" ;;
+      *Time*) echo "$file $name $(time_of "$a") time" ;;
+    esac
+  done
+}
+
+# Rows of the settings page below the heading that matches $1.
+documented_settings() {
+  rows docs/SETTINGS.md "$1" | while IFS=$'\t' read -r flag variable default values _; do
+    flag=${flag//\`/}
+    echo "${flag#--} ${variable//\`/} ${default//\`/} $values"
+  done | sort
+}
+
+with_variable() {
+  while read -r name rest; do
+    variable=$(tr 'a-z-' 'A-Z_' <<<"$name")
+    echo "$name SHALLOTBANK_$variable $rest"
+  done | sort
+}
+
+check_settings() {
+  local page=docs/SETTINGS.md common=libs/daemon/src/common_settings.cc
+  # The operator's client has a page of its own.
+  calls 'SettingsBuilder [a-z]+[(]' | cut -f 1,3 | tr -d '"' | awk -F '\t' '$2 != "" && $2 != "shallotbank" && $1 !~ /^libs\/base\//' |
+    sort >"$work/programs"
+  expect_some "$work/programs" "programs with settings"
+  declared_settings >"$work/declared"
+  expect_some "$work/declared" "settings"
+  local file program heading
+  while IFS=$'\t' read -r file program; do
+    if ! grep -qE "^## \`$program\`" "$page"; then
+      fault "$page has no section for the program '$program' of $file"
+    fi
+    awk -v file="$file" '$1 == file { $1 = ""; print substr($0, 2) }' "$work/declared" |
+      with_variable >"$work/code"
+    documented_settings "^## \`$program\`" >"$work/page"
+    compare "$work/code" "$work/page" "$page, section $program," "the setting"
+  done <"$work/programs"
+  heading=$(while IFS=$'\t' read -r file program; do
+    if text_of "^$file$" | grep -q 'AddCommonSettings('; then
+      echo "\`$program\`"
+    fi
+  done <"$work/programs" | paste -sd '+' - | sed 's/+/ and /g')
+  if ! grep -qxF "## Common to $heading" "$page"; then
+    fault "$page has no section 'Common to $heading'"
+  fi
+  awk -v file="$common" '$1 == file { $1 = ""; print substr($0, 2) }' "$work/declared" |
+    with_variable >"$work/code"
+  expect_some "$work/code" "common settings"
+  documented_settings '^## Common to' >"$work/page"
+  compare "$work/code" "$work/page" "$page, common section," "the setting"
+  text_of '^libs/base/src/settings[.]cc$' | literals '[{]"[a-z-]+", no_argument' |
+    sed 's/^/--/' >"$work/code"
+  text_of '^libs/base/src/settings[.]cc$' | { grep -oE '[{]"[a-z-]+", no_argument' || true; } |
+    sed -E 's/.*"([a-z-]+)".*/--\1/' | sort >"$work/code"
+  rows "$page" '^## Every program' | cut -f 1 | backticked >"$work/page"
+  expect_some "$work/code" "flags of every program"
+  compare "$work/code" "$work/page" "$page" "the flag"
+  # A declaration in a file that belongs to no section would be missed.
+  while read -r file; do
+    if [ "$file" != "$common" ] && ! cut -f 1 "$work/programs" | grep -qxF "$file" &&
+      ! text_of "^$file$" | grep -q 'SettingsBuilder [a-z]*("shallotbank"'; then
+      fault "$file declares settings of a program that this check does not know"
+    fi
+  done < <(cut -d ' ' -f 1 "$work/declared" | sort -u)
+}
+
+# Reasons that reach the counter $1 by way of a variable, from where they arise.
+indirect_reasons() {
+  local routing=libs/routing/src/reasons.cc
+  case $1 in
+    refusals_total) refusal_reasons ;;
+    routing_refusals_total) returned "$routing" 'ToText(RefusalReason' ;;
+    routing_retries_total) returned "$routing" 'ToText(RetryReason' ;;
+    routing_not_retried_total) returned "$routing" 'ToText(NoRetryReason' ;;
+    routing_ejections_total) returned "$routing" 'ToText(EjectionReason' ;;
+    scheduler_blocked_total) returned libs/placement/src/why_not.cc 'ToText(WhyNot' ;;
+    scheduler_worker_failures_total | log_append_retries_total)
+      # Work that ran is no failure.
+      returned libs/base/src/verdict.cc 'ToText(Verdict' | sed '/^ran$/d'
+      ;;
+    scheduler_attempts_ended_total)
+      calls 'LoseAttempt[(]' | cut -f 4- | { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+      ;;
+    http_refused_total) http_reasons ;;
+    http_connections_closed_total)
+      text_of '^libs/http/src/' | literals '(Close|CloseAll|CloseLocked|FinishLocked)[(]"[a-z_]+"'
+      ;;
+    log_appends_refused_total)
+      text_of '^libs/platform/src/log_appender[.]cc$' | literals '(refused|[.]reason) = "[a-z_]+"'
+      ;;
+    rpc_calls_not_run_total | peer_heartbeats_failed_total | job_status_from_log_total | rpc_calls_may_have_run_total)
+      { text_of '^libs/rpc/src/(link|client_core|peer_client|peer_loads)[.]cc$' |
+        { grep -oE '(return|Fail[(]([*]?|entry[.])call,|Refuse[(](call->)?done,) "[a-z_]+"|[?] "[a-z_]+" : "[a-z_]+"' || true; } |
+        { grep -oE '"[a-z_]+"' || true; } | tr -d '"'; } | sort -u
+      ;;
+    rpc_connects_failed_total)
+      text_of '^libs/rpc/src/link[.]cc$' | { grep -oE 'reason = is_timeout [?] "[a-z_]+" : "[a-z_]+"' || true; } |
+        { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+      ;;
+    rpc_connections_lost_total)
+      text_of '^libs/rpc/src/(link|client_connection)[.]cc$' |
+        { grep -oE 'std::string[(]("[a-z_]+"|[a-z_]+ [?] "[a-z_]+" : "[a-z_]+")[)]' || true; } |
+        { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+      ;;
+    rpc_server_closed_total)
+      text_of '^libs/rpc/src/server_connection[.]cc$' | literals 'std::string[(]"[a-z_]+"[)]'
+      ;;
+    rpc_server_refused_total)
+      text_of '^libs/rpc/src/(server_connection|peer_service)[.]cc$' |
+        literals '(return|reason =) "[a-z_]+"'
+      ;;
+    *) return 1 ;;
+  esac
+}
+
+http_reasons() { text_of '^libs/http/src/' | literals '[{][0-9]{3}, "[a-z_]+"'; }
+
+# Reasons of refusals that the entry process counts by `refusals_total`.
+refusal_reasons() {
+  {
+    text_of '^apps/entry/' | literals '\bError[(][A-Za-z0-9]+, "[a-z_]+"'
+    text_of '^apps/entry/' | literals 'Verdict::k[A-Za-z]+, "[a-z_]+"'
+    text_of '^apps/entry/' | literals '[.]reason = "[a-z_]+"'
+    text_of '^apps/entry/' | literals '"refusals_total", "[a-z_]+"'
+    returned libs/routing/src/reasons.cc 'ToText(RefusalReason'
+    returned libs/journal/src/job_table.cc 'JobTable::Apply(const JobAccepted'
+  } | sort -u
+}
+
+# Reasons in answers to callers, whoever counts them.
+caller_reasons() {
+  {
+    refusal_reasons
+    http_reasons
+    text_of '^(apps/entry|libs/http/src)/' | { grep -oE '"reason":"[a-z_]+"' || true; } | cut -d '"' -f 4
+  } | sort -u
+}
+
+# Emissions: kind, name, reason ("-" for none, "*" for one that is not literal).
+emitted_metrics() {
+  calls '(metrics([.]|->)(Add|Set|Observe)|([.]|->)Count)[(]' | awk -F '\t' '$3 ~ /^"/' |
+    awk -F '\t' '{
+      name = $3
+      gsub(/"/, "", name)
+      kind = $2 ~ /Set/ ? "gauge" : $2 ~ /Observe/ ? "histogram" : "counter"
+      reason = "-"
+      if (kind == "counter" && $4 != "" && $4 != "\"\"") {
+        reason = $4 ~ /^"[^"]*"$/ ? $4 : "*"
+        gsub(/"/, "", reason)
+      }
+      print kind, name, reason
+    }' | sort -u
+}
+
+check_counters() {
+  local page=docs/COUNTERS.md file kind name reason
+  emitted_metrics >"$work/emissions"
+  expect_some "$work/emissions" "metrics"
+  # Names that this check cannot see.
+  while read -r file; do
+    if ! text_of "^$file$" | grep -qE 'Count\(const (char\*|std::string&)'; then
+      fault "$file passes a metric's name as a variable; use a literal"
+    fi
+  done < <(calls 'metrics([.]|->)(Add|Set|Observe)[(]' | awk -F '\t' '$3 !~ /^"/ { print $1 }' | sort -u)
+  while IFS=$'\t' read -r file name; do
+    fault "$file calls its Metrics '$name'; this check knows only 'metrics'"
+  done < <(awk -F '\t' '{
+    while (match($2, /[^A-Za-z_]Metrics[&*]* [a-z_]+/)) {
+      name = substr($2, RSTART, RLENGTH)
+      sub(/.* /, "", name)
+      if (name != "metrics") print $1 "\t" name
+      $2 = substr($2, RSTART + RLENGTH)
+    }
+  }' "$flat")
+  cut -d ' ' -f 1,2 "$work/emissions" | sort -u >"$work/code"
+  rows "$page" '^## Metrics|^### ' | while IFS=$'\t' read -r name kind _; do
+    echo "$kind ${name//\`/}"
+  done | sort >"$work/page"
+  compare "$work/code" "$work/page" "$page" "the metric"
+  while read -r kind name; do
+    {
+      awk -v name="$name" '$2 == name && $3 !~ /^[-*]$/ { print $3 }' "$work/emissions"
+      if grep -qxF "$kind $name *" "$work/emissions"; then
+        indirect_reasons "$name" || fault "scripts/check_docs.sh does not know where the reasons of '$name' arise"
+      fi
+    } | sort -u >"$work/code_reasons"
+    rows "$page" '^## Metrics|^### ' | awk -F '\t' -v name="\`$name\`" '$1 == name { print $3 }' >"$work/cell"
+    if grep -q 'those of ' "$work/cell"; then
+      other=$(sed -E 's/.*those of `([a-z_]+)`.*/\1/' "$work/cell")
+      indirect_reasons "$other" >"$work/page_reasons" || fault "$page: '$name' refers to '$other', which has no list of reasons"
+      sed -E 's/those of `[a-z_]+`//' "$work/cell" | backticked >>"$work/page_reasons"
+      sort -u -o "$work/page_reasons" "$work/page_reasons"
+    elif grep -q 'see Refusals' "$work/cell"; then
+      continue # The table of refusals is compared below.
+    else
+      backticked <"$work/cell" >"$work/page_reasons"
+    fi
+    compare "$work/code_reasons" "$work/page_reasons" "$page" "for $name the reason"
+  done <"$work/code"
+}
+
+# Refusals whose status and execution stand beside the reason in the code.
+literal_refusals() {
+  {
+    text_of '^apps/entry/' | { grep -oE '\bError[(][A-Za-z0-9]+, "[a-z_]+"' || true; } |
+      sed -E 's/Error[(]([A-Za-z0-9]+), "([a-z_]+)"/\2 \1 not-run/'
+    text_of '^libs/http/src/' | { grep -oE '[{][0-9]{3}, "[a-z_]+"' || true; } |
+      sed -E 's/[{]([0-9]+), "([a-z_]+)"/\2 \1 not-run/'
+    calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && $6 ~ /^[{]Verdict::k[A-Za-z]+, "[a-z_]+"/ {
+      split($6, part, /[{,"]+/)
+      verdict = part[2]
+      sub(/.*::k/, "", verdict)
+      reason = part[3] == " " ? part[4] : part[3]
+      print reason, $5, verdict
+    }'
+  } | sed -E 's/ NotRun$/ not-run/; s/ MayHaveRun$/ may-have-run/; s/ Ran$/ ran/' |
+    while read -r reason status execution; do
+      echo "$reason $(number_of "$status") $execution"
+    done | sort -u
+}
+
+check_refusals() {
+  local page=docs/COUNTERS.md reason status execution cells file
+  caller_reasons >"$work/code"
+  expect_some "$work/code" "reasons of refusals"
+  rows "$page" '^## Refusals' | cut -f 1 | backticked >"$work/page"
+  compare "$work/code" "$work/page" "$page, section Refusals," "the reason"
+  literal_refusals >"$work/literal"
+  expect_some "$work/literal" "refusals with a status"
+  while read -r reason status execution; do
+    cells=$(rows "$page" '^## Refusals' | awk -F '\t' -v reason="\`$reason\`" '$1 == reason { print $2 "\t" $3 }')
+    if [[ $cells != *$status*$'\t'* ]]; then
+      fault "$page does not say that '$reason' has HTTP status $status"
+    fi
+    if ! cut -f 2 <<<"$cells" | tr -d '`,' | tr ' ' '\n' | grep -qxF "$execution"; then
+      fault "$page does not say that the execution of '$reason' is $execution"
+    fi
+  done <"$work/literal"
+  # A refusal whose reason comes from elsewhere than the places searched above.
+  while IFS=$'\t' read -r file cells; do
+    fault "$file refuses with a reason that this check cannot read: $cells"
+  done < <(calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && NF >= 5 &&
+    $3 !~ /^const/ && $0 !~ /Verdict::k[A-Za-z]+\t? ?,? ?"[a-z_]+"|[.]reason = "|[ \t](error[.]refusal|refusal|refuse[.]refusal)$|LogRefusal[(]|outcomes\[0\][.]reason/ {
+      out = $6; print $1 "\t" out }')
+}
+
+# Names on the pages that have no table of their own to compare.
+check_references() {
+  local page reference
+  cut -d ' ' -f 2 "$work/emissions" | sort -u >"$work/names"
+  for page in docs/EVENTS.md docs/SETTINGS.md docs/COUNTERS.md docs/ALERTS.md docs/GLOSSARY.md; do
+    while read -r reference; do
+      fault "$page names the metric '$reference', which the code does not have"
+    done < <(backticked <"$page" | sed -E 's/[{].*//' | { grep -E '^[a-z_]+_(total|seconds)$' || true; } |
+      sort -u | comm -23 - "$work/names")
+    while read -r reference; do
+      fault "$page names the event '$reference', which the code does not have"
+    done < <({ grep -oE '`[a-z-]+` \([0-9]{4}\)' "$page" || true; } | tr -d '`' | sort -u |
+      comm -23 - "$work/event_names")
+    while read -r reference; do
+      [ -e "$reference" ] || fault "$page names the file '$reference', which does not exist"
+    done < <(backticked <"$page" | { grep -E '^(apps|libs|docs|scripts)/[A-Za-z0-9_./]+$' || true; })
+  done
+}
+
+flatten >"$flat"
+check_events
+check_settings
+check_counters
+check_refusals
+check_references
+if [ "$faults" -gt 0 ]; then
+  echo "check_docs: $faults differences between the pages and the code" >&2
+  exit 1
+fi
+echo "check_docs: the pages agree with the code"
