--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Backticks mark names on the pages.
-# shellcheck disable=SC2016
 # Compares docs/EVENTS.md, SETTINGS.md, COUNTERS.md, ALERTS.md and GLOSSARY.md
 # with the sources: fails if something exists on one side only. The first
 # argument is the tree to check (default: the one of this script).
+#
+# Backticks mark names on the pages.
+# shellcheck disable=SC2016
 set -euo pipefail
 export LC_ALL=C
 cd "${1:-$(dirname "$0")/..}"
@@ -11,11 +12,10 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 flat=$work/flat
-faults=0
 
+# Kept in a file, because many of the loops below run in subshells.
 fault() {
-  echo "check_docs: $*" >&2
-  faults=$((faults + 1))
+  echo "check_docs: $*" | tee -a "$work/faults" >&2
 }
 
 # One line a source file: path, tab, text without comments and line breaks, so
@@ -25,7 +25,7 @@
   while read -r file; do
     printf '%s\t' "$file"
     sed -E 's@^[[:space:]]*//.*@@; s@  //.*@@' "$file" | tr -s '\n\t ' ' ' |
-      sed -E 's/" "//g; s/([({]) /\1/g; s/ ([)}])/\1/g'
+      sed -E 's/" "//g; s/([({]) /\1/g; s/ ([)}])/\1/g; s/ ([.]|->)([A-Za-z])/\1\2/g'
     echo
   done < <(grep -rl '' apps libs --include='*.cc' --include='*.h' \
     --exclude='*.capnp.*' --exclude-dir=tests --exclude-dir=benchmarks | sort)
@@ -64,14 +64,27 @@
 # The flat text of the files whose path matches $1.
 text_of() { awk -F '\t' -v path="$1" '$1 ~ path { print $2 }' "$flat"; }
 
+# True if the flat text of the files whose path matches $1 matches $2. Reads to the
+# end: a grep -q would end the pipe early and so fail it.
+has() { [ -n "$(text_of "$1" | { grep -oE "$2" || true; })" ]; }
+
 # What the regular expression $1 finds in the input, then the last literal of
 # each match.
 literals() { { grep -oE "$1" || true; } | sed -E 's/^.*"([^"]*)"[^"]*$/\1/' | sort -u; }
 
-# The names that the function of file $1 whose first line contains $2 returns.
+# The names that the function of file $1 whose head contains $2 returns.
 returned() {
-  awk -v mark="$2" 'index($0, mark) { on = 1 } on { print } on && /^}/ { exit }' "$1" |
-    literals '(return|Invalid)[ (]"[a-z_-]+"' | sed '/^unknown$/d'
+  awk -F '\t' -v path="$1" -v mark="$2" '$1 == path && index($2, mark) {
+    text = substr($2, index($2, mark))
+    text = substr(text, index(text, "{"))
+    depth = 0
+    for (i = 1; i <= length(text); i++) {
+      c = substr(text, i, 1)
+      if (c == "{") depth++
+      if (c == "}" && --depth == 0) break
+    }
+    print substr(text, 1, i)
+  }' "$flat" | literals '(return |Invalid[(])"[a-z0-9_-]+"' | sed '/^unknown$/d'
 }
 
 # Table rows below the heading of file $1 that matches $2, up to the next
@@ -123,7 +136,7 @@
     rest = $0
     sub(/^[^\t]*\t[^\t]*\t[^\t]*\t/, "", rest)
     if (rest != $0) {
-      while (match(rest, /[{]"[a-z_]+",/)) {
+      while (match(rest, /[{]"[a-z0-9_-]+",/)) {
         fields = fields " " substr(rest, RSTART + 2, RLENGTH - 4)
         rest = substr(rest, RSTART + RLENGTH)
       }
@@ -161,7 +174,7 @@
   text=${text##*::}
   if [[ $text =~ ^k[A-Za-z0-9]+$ ]]; then
     text=$(cut -f 2 "$flat" | { grep -oE "constexpr [A-Za-z0-9_:]+ $text = [^;]+;" || true; } |
-      head -n 1 | sed -E "s/.* = ([^;]+);/\1/; s/'//g")
+      sed -n 1p | sed -E "s/.* = ([^;]+);/\1/; s/'//g")
   fi
   if [[ $text =~ ^[-0-9\ \<*+]+$ ]]; then
     echo $((text))
@@ -221,16 +234,16 @@
   expect_some "$work/declared" "settings"
   local file program heading
   while IFS=$'\t' read -r file program; do
-    if ! grep -qE "^## \`$program\`" "$page"; then
-      fault "$page has no section for the program '$program' of $file"
-    fi
     awk -v file="$file" '$1 == file { $1 = ""; print substr($0, 2) }' "$work/declared" |
       with_variable >"$work/code"
     documented_settings "^## \`$program\`" >"$work/page"
     compare "$work/code" "$work/page" "$page, section $program," "the setting"
   done <"$work/programs"
+  cut -f 2 "$work/programs" | sort >"$work/code"
+  grep '^## `' "$page" | backticked >"$work/page"
+  compare "$work/code" "$work/page" "$page" "a section for the program"
   heading=$(while IFS=$'\t' read -r file program; do
-    if text_of "^$file$" | grep -q 'AddCommonSettings('; then
+    if has "^$file$" "AddCommonSettings[(]"; then
       echo "\`$program\`"
     fi
   done <"$work/programs" | paste -sd '+' - | sed 's/+/ and /g')
@@ -242,8 +255,6 @@
   expect_some "$work/code" "common settings"
   documented_settings '^## Common to' >"$work/page"
   compare "$work/code" "$work/page" "$page, common section," "the setting"
-  text_of '^libs/base/src/settings[.]cc$' | literals '[{]"[a-z-]+", no_argument' |
-    sed 's/^/--/' >"$work/code"
   text_of '^libs/base/src/settings[.]cc$' | { grep -oE '[{]"[a-z-]+", no_argument' || true; } |
     sed -E 's/.*"([a-z-]+)".*/--\1/' | sort >"$work/code"
   rows "$page" '^## Every program' | cut -f 1 | backticked >"$work/page"
@@ -251,8 +262,7 @@
   compare "$work/code" "$work/page" "$page" "the flag"
   # A declaration in a file that belongs to no section would be missed.
   while read -r file; do
-    if [ "$file" != "$common" ] && ! cut -f 1 "$work/programs" | grep -qxF "$file" &&
-      ! text_of "^$file$" | grep -q 'SettingsBuilder [a-z]*("shallotbank"'; then
+    if [ "$file" != "$common" ] && ! has "^$file$" 'SettingsBuilder [a-z]*[(]"'; then
       fault "$file declares settings of a program that this check does not know"
     fi
   done < <(cut -d ' ' -f 1 "$work/declared" | sort -u)
@@ -273,49 +283,49 @@
       returned libs/base/src/verdict.cc 'ToText(Verdict' | sed '/^ran$/d'
       ;;
     scheduler_attempts_ended_total)
-      calls 'LoseAttempt[(]' | cut -f 4- | { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+      calls 'LoseAttempt[(]' | cut -f 4- | { grep -oE '"[a-z0-9_-]+"' || true; } | tr -d '"' | sort -u
       ;;
     http_refused_total) http_reasons ;;
     http_connections_closed_total)
-      text_of '^libs/http/src/' | literals '(Close|CloseAll|CloseLocked|FinishLocked)[(]"[a-z_]+"'
+      text_of '^libs/http/src/' | literals '(Close|CloseAll|CloseLocked|FinishLocked)[(]"[a-z0-9_-]+"'
       ;;
     log_appends_refused_total)
-      text_of '^libs/platform/src/log_appender[.]cc$' | literals '(refused|[.]reason) = "[a-z_]+"'
+      text_of '^libs/platform/src/log_appender[.]cc$' | literals '(refused|[.]reason) = "[a-z0-9_-]+"'
       ;;
     rpc_calls_not_run_total | peer_heartbeats_failed_total | job_status_from_log_total | rpc_calls_may_have_run_total)
       { text_of '^libs/rpc/src/(link|client_core|peer_client|peer_loads)[.]cc$' |
-        { grep -oE '(return|Fail[(]([*]?|entry[.])call,|Refuse[(](call->)?done,) "[a-z_]+"|[?] "[a-z_]+" : "[a-z_]+"' || true; } |
-        { grep -oE '"[a-z_]+"' || true; } | tr -d '"'; } | sort -u
+        { grep -oE '(return|Fail[(]([*]?|entry[.])call,|Refuse[(](call->)?done,) "[a-z0-9_-]+"|[?] "[a-z0-9_-]+" : "[a-z0-9_-]+"' || true; } |
+        { grep -oE '"[a-z0-9_-]+"' || true; } | tr -d '"'; } | sort -u
       ;;
     rpc_connects_failed_total)
-      text_of '^libs/rpc/src/link[.]cc$' | { grep -oE 'reason = is_timeout [?] "[a-z_]+" : "[a-z_]+"' || true; } |
-        { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+      text_of '^libs/rpc/src/link[.]cc$' | { grep -oE 'reason = is_timeout [?] "[a-z0-9_-]+" : "[a-z0-9_-]+"' || true; } |
+        { grep -oE '"[a-z0-9_-]+"' || true; } | tr -d '"' | sort -u
       ;;
     rpc_connections_lost_total)
       text_of '^libs/rpc/src/(link|client_connection)[.]cc$' |
-        { grep -oE 'std::string[(]("[a-z_]+"|[a-z_]+ [?] "[a-z_]+" : "[a-z_]+")[)]' || true; } |
-        { grep -oE '"[a-z_]+"' || true; } | tr -d '"' | sort -u
+        { grep -oE 'std::string[(]("[a-z0-9_-]+"|[a-z_]+ [?] "[a-z0-9_-]+" : "[a-z0-9_-]+")[)]' || true; } |
+        { grep -oE '"[a-z0-9_-]+"' || true; } | tr -d '"' | sort -u
       ;;
     rpc_server_closed_total)
-      text_of '^libs/rpc/src/server_connection[.]cc$' | literals 'std::string[(]"[a-z_]+"[)]'
+      text_of '^libs/rpc/src/server_connection[.]cc$' | literals 'std::string[(]"[a-z0-9_-]+"[)]'
       ;;
     rpc_server_refused_total)
       text_of '^libs/rpc/src/(server_connection|peer_service)[.]cc$' |
-        literals '(return|reason =) "[a-z_]+"'
+        literals '(return|reason =) "[a-z0-9_-]+"'
       ;;
     *) return 1 ;;
   esac
 }
 
-http_reasons() { text_of '^libs/http/src/' | literals '[{][0-9]{3}, "[a-z_]+"'; }
+http_reasons() { text_of '^libs/http/src/' | literals '[{][0-9]{3}, "[a-z0-9_-]+"'; }
 
 # Reasons of refusals that the entry process counts by `refusals_total`.
 refusal_reasons() {
   {
-    text_of '^apps/entry/' | literals '\bError[(][A-Za-z0-9]+, "[a-z_]+"'
-    text_of '^apps/entry/' | literals 'Verdict::k[A-Za-z]+, "[a-z_]+"'
-    text_of '^apps/entry/' | literals '[.]reason = "[a-z_]+"'
-    text_of '^apps/entry/' | literals '"refusals_total", "[a-z_]+"'
+    text_of '^apps/entry/' | literals '\bError[(][A-Za-z0-9]+, "[a-z0-9_-]+"'
+    text_of '^apps/entry/' | literals 'Verdict::k[A-Za-z]+, "[a-z0-9_-]+"'
+    text_of '^apps/entry/' | literals '[.]reason = "[a-z0-9_-]+"'
+    text_of '^apps/entry/' | literals '"refusals_total", "[a-z0-9_-]+"'
     returned libs/routing/src/reasons.cc 'ToText(RefusalReason'
     returned libs/journal/src/job_table.cc 'JobTable::Apply(const JobAccepted'
   } | sort -u
@@ -326,7 +336,7 @@
   {
     refusal_reasons
     http_reasons
-    text_of '^(apps/entry|libs/http/src)/' | { grep -oE '"reason":"[a-z_]+"' || true; } | cut -d '"' -f 4
+    text_of '^(apps/entry|libs/http/src)/' | { grep -oE '"reason":"[a-z0-9_-]+"' || true; } | cut -d '"' -f 4
   } | sort -u
 }
 
@@ -346,13 +356,31 @@
     }' | sort -u
 }
 
+# Pairs of name and reason that the page of counters gives.
+documented_reasons() {
+  local name cell other
+  rows docs/COUNTERS.md '^## Metrics|^### ' | cut -f 1,3 | tr -d '`' |
+    while IFS=$'\t' read -r name cell; do
+      case $cell in
+        - | 'see Refusals') continue ;; # The table of refusals is compared separately.
+        *'those of '*)
+          other=${cell##*those of }
+          other=${other%%,*}
+          cell=${cell/"those of $other"/}
+          indirect_reasons "$other" | sed "s/^/$name /"
+          ;;
+      esac
+      tr -s ', ' '\n' <<<"$cell" | sed -n "s/^./$name &/p"
+    done | sort -u
+}
+
 check_counters() {
   local page=docs/COUNTERS.md file kind name reason
   emitted_metrics >"$work/emissions"
   expect_some "$work/emissions" "metrics"
   # Names that this check cannot see.
   while read -r file; do
-    if ! text_of "^$file$" | grep -qE 'Count\(const (char\*|std::string&)'; then
+    if ! has "^$file$" 'Count\(const (char\*|std::string&)'; then
       fault "$file passes a metric's name as a variable; use a literal"
     fi
   done < <(calls 'metrics([.]|->)(Add|Set|Observe)[(]' | awk -F '\t' '$3 !~ /^"/ { print $1 }' | sort -u)
@@ -371,36 +399,28 @@
     echo "$kind ${name//\`/}"
   done | sort >"$work/page"
   compare "$work/code" "$work/page" "$page" "the metric"
-  while read -r kind name; do
-    {
-      awk -v name="$name" '$2 == name && $3 !~ /^[-*]$/ { print $3 }' "$work/emissions"
-      if grep -qxF "$kind $name *" "$work/emissions"; then
-        indirect_reasons "$name" || fault "scripts/check_docs.sh does not know where the reasons of '$name' arise"
-      fi
-    } | sort -u >"$work/code_reasons"
-    rows "$page" '^## Metrics|^### ' | awk -F '\t' -v name="\`$name\`" '$1 == name { print $3 }' >"$work/cell"
-    if grep -q 'those of ' "$work/cell"; then
-      other=$(sed -E 's/.*those of `([a-z_]+)`.*/\1/' "$work/cell")
-      indirect_reasons "$other" >"$work/page_reasons" || fault "$page: '$name' refers to '$other', which has no list of reasons"
-      sed -E 's/those of `[a-z_]+`//' "$work/cell" | backticked >>"$work/page_reasons"
-      sort -u -o "$work/page_reasons" "$work/page_reasons"
-    elif grep -q 'see Refusals' "$work/cell"; then
-      continue # The table of refusals is compared below.
-    else
-      backticked <"$work/cell" >"$work/page_reasons"
-    fi
-    compare "$work/code_reasons" "$work/page_reasons" "$page" "for $name the reason"
-  done <"$work/code"
+  while read -r kind name reason; do
+    case "$name $reason" in
+      "refusals_total "* | *" -") ;;
+      *" *")
+        { indirect_reasons "$name" || fault "scripts/check_docs.sh does not know where the reasons of $name arise"; } |
+          sed "s/^/$name /"
+        ;;
+      *) echo "$name $reason" ;;
+    esac
+  done <"$work/emissions" | sort -u >"$work/code"
+  documented_reasons >"$work/page"
+  compare "$work/code" "$work/page" "$page" "the reason"
 }
 
 # Refusals whose status and execution stand beside the reason in the code.
 literal_refusals() {
   {
-    text_of '^apps/entry/' | { grep -oE '\bError[(][A-Za-z0-9]+, "[a-z_]+"' || true; } |
+    text_of '^apps/entry/' | { grep -oE '\bError[(][A-Za-z0-9]+, "[a-z0-9_-]+"' || true; } |
       sed -E 's/Error[(]([A-Za-z0-9]+), "([a-z_]+)"/\2 \1 not-run/'
-    text_of '^libs/http/src/' | { grep -oE '[{][0-9]{3}, "[a-z_]+"' || true; } |
+    text_of '^libs/http/src/' | { grep -oE '[{][0-9]{3}, "[a-z0-9_-]+"' || true; } |
       sed -E 's/[{]([0-9]+), "([a-z_]+)"/\2 \1 not-run/'
-    calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && $6 ~ /^[{]Verdict::k[A-Za-z]+, "[a-z_]+"/ {
+    calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && $6 ~ /^[{]Verdict::k[A-Za-z]+, "[a-z0-9_-]+"/ {
       split($6, part, /[{,"]+/)
       verdict = part[2]
       sub(/.*::k/, "", verdict)
@@ -414,28 +434,29 @@
 }
 
 check_refusals() {
-  local page=docs/COUNTERS.md reason status execution cells file
+  local page=docs/COUNTERS.md cells file
   caller_reasons >"$work/code"
   expect_some "$work/code" "reasons of refusals"
   rows "$page" '^## Refusals' | cut -f 1 | backticked >"$work/page"
   compare "$work/code" "$work/page" "$page, section Refusals," "the reason"
   literal_refusals >"$work/literal"
   expect_some "$work/literal" "refusals with a status"
-  while read -r reason status execution; do
-    cells=$(rows "$page" '^## Refusals' | awk -F '\t' -v reason="\`$reason\`" '$1 == reason { print $2 "\t" $3 }')
-    if [[ $cells != *$status*$'\t'* ]]; then
-      fault "$page does not say that '$reason' has HTTP status $status"
-    fi
-    if ! cut -f 2 <<<"$cells" | tr -d '`,' | tr ' ' '\n' | grep -qxF "$execution"; then
-      fault "$page does not say that the execution of '$reason' is $execution"
-    fi
-  done <"$work/literal"
+  # One line for each combination of reason, status and execution.
+  rows "$page" "^## Refusals" | awk -F "\t" '{
+    gsub(/`/, "")
+    statuses = split($2, status, /, */)
+    executions = split($3, execution, /, */)
+    for (i = 1; i <= statuses; i++)
+      for (j = 1; j <= executions; j++) print $1, status[i], execution[j]
+  }' | sort -u >"$work/combinations"
+  # Only reasons whose status stands in the code can be compared.
+  awk 'NR == FNR { known[$1]; next } $1 in known' "$work/literal" "$work/combinations" >"$work/page"
+  compare "$work/literal" "$work/page" "$page" "for a refusal the reason, status and execution"
   # A refusal whose reason comes from elsewhere than the places searched above.
   while IFS=$'\t' read -r file cells; do
     fault "$file refuses with a reason that this check cannot read: $cells"
-  done < <(calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && NF >= 5 &&
-    $3 !~ /^const/ && $0 !~ /Verdict::k[A-Za-z]+\t? ?,? ?"[a-z_]+"|[.]reason = "|[ \t](error[.]refusal|refusal|refuse[.]refusal)$|LogRefusal[(]|outcomes\[0\][.]reason/ {
-      out = $6; print $1 "\t" out }')
+  done < <(calls '[^a-z:]Refuse[(]' | awk -F '\t' -v known='Verdict::k[A-Za-z]+, "[a-z0-9_-]+"|[.]reason = "|error[.]refusal|refuse[.]refusal|\trefusal$|LogRefusal[(]|outcomes.0.[.]reason' \
+    '$1 ~ /^apps\/entry\// && NF >= 5 && $3 !~ /^const/ && $0 !~ known { print $1 "\t" $6 }')
 }
 
 # Names on the pages that have no table of their own to compare.
@@ -463,8 +484,8 @@
 check_counters
 check_refusals
 check_references
-if [ "$faults" -gt 0 ]; then
-  echo "check_docs: $faults differences between the pages and the code" >&2
+if [ -s "$work/faults" ]; then
+  echo "check_docs: $(wc -l <"$work/faults") differences between the pages and the code" >&2
   exit 1
 fi
 echo "check_docs: the pages agree with the code"
