--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -417,9 +417,9 @@
 literal_refusals() {
   {
     text_of '^apps/entry/' | { grep -oE '\bError[(][A-Za-z0-9]+, "[a-z0-9_-]+"' || true; } |
-      sed -E 's/Error[(]([A-Za-z0-9]+), "([a-z_]+)"/\2 \1 not-run/'
+      sed -E 's/Error[(]([A-Za-z0-9]+), "([a-z0-9_-]+)"/\2 \1 not-run/'
     text_of '^libs/http/src/' | { grep -oE '[{][0-9]{3}, "[a-z0-9_-]+"' || true; } |
-      sed -E 's/[{]([0-9]+), "([a-z_]+)"/\2 \1 not-run/'
+      sed -E 's/[{]([0-9]+), "([a-z0-9_-]+)"/\2 \1 not-run/'
     calls '[^a-z:]Refuse[(]' | awk -F '\t' '$1 ~ /^apps\/entry\// && $6 ~ /^[{]Verdict::k[A-Za-z]+, "[a-z0-9_-]+"/ {
       split($6, part, /[{,"]+/)
       verdict = part[2]
