--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -190,6 +190,7 @@
     std::chrono::milliseconds\(*) echo "${number}ms" ;;
     std::chrono::seconds\(*) echo "$((number * 1000))ms" ;;
     std::chrono::minutes\(*) echo "$((number * 60000))ms" ;;
+    std::chrono::hours\(*) echo "$((number * 3600000))ms" ;;
     *) echo "unreadable($1)" ;;
   esac
 }
