Retry refused records later; record refusals of requests whose id is in the log

Ruled out: dropping the records; workers keep results until they are recorded. Before: as above, by reading. Conclusion: refusals are recorded as outcomes, records wait a second.

--- a/apps/entry/api.cc
+++ b/apps/entry/api.cc
@@ -41,12 +41,15 @@
            {{"request", call.request_id},
             {"reason", refusal.reason},
             {"execution", std::string(ToText(refusal.verdict))}});
-  Reply(context, call, status,
-        {{"error",
-          {{"reason", refusal.reason},
-           {"field", refusal.field},
-           {"message", refusal.message},
-           {"execution", ToText(refusal.verdict)}}}});
+  Reply(context, call, status, RefusalBody(refusal));
+}
+
+auto RefusalBody(const Refusal& refusal) -> nlohmann::json {
+  return {{"error",
+           {{"reason", refusal.reason},
+            {"field", refusal.field},
+            {"message", refusal.message},
+            {"execution", ToText(refusal.verdict)}}}};
 }
 
 auto StatusOf(Verdict verdict) -> int {
--- a/apps/entry/api.h
+++ b/apps/entry/api.h
@@ -60,6 +60,9 @@
            int status,
            const nlohmann::json& body) -> void;
 
+/// The JSON body of a refusal.
+auto RefusalBody(const Refusal& refusal) -> nlohmann::json;
+
 /// Answers with a refusal and counts it by its reason.
 auto Refuse(const Context& context,
             ApiCall& call,
--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,4 +1,3 @@
-#include <cctype>
 #include <cstdio>
 
 #include "base/process.h"
@@ -18,7 +17,9 @@
       [&settings]() -> leaf::result<int> {
         BOOST_LEAF_AUTO(common, daemon::ReadCommonSettings(settings));
         const auto& hash = settings.Text("operator-key-sha256");
-        if (hash.size() != kSha256HexDigits) {
+        const bool is_hex =
+            hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (hash.size() != kSha256HexDigits || !is_hex) {
           return leaf::new_error(
               SettingsError{"--operator-key-sha256",
                             "must be a SHA-256 in 64 lower-case hex digits"});
--- a/apps/entry/request_service.cc
+++ b/apps/entry/request_service.cc
@@ -257,6 +257,13 @@
   entry.request.service = request.service;
   entry.request.team = request.team;
   entry.request.idempotent = request.idempotent;
+  const auto* state = this->context.log.State();
+  const auto* profile =
+      state == nullptr
+          ? nullptr
+          : state->Configuration().Get().FindProfile(request.profile);
+  entry.request.urgent = profile != nullptr &&
+                         profile->priority == configuration::Priority::kUrgent;
   entry.request.forwarded = true;
   entry.request.deadline = now + request.deadline_left;
   entry.request.domain = this->context.settings.domain;
@@ -465,8 +472,16 @@
                         .reason = refuse.refusal.reason});
     return;
   }
-  Refuse(this->context, *request.call,
-         StatusFor(refuse.reason, refuse.refusal.verdict), refuse.refusal);
+  const auto status = StatusFor(refuse.reason, refuse.refusal.verdict);
+  if (request.token && refuse.refusal.verdict == Verdict::kNotRun) {
+    // Its id is in the log; without this, a repeat would be told that the
+    // request may have run.
+    this->current = {.status = status,
+                     .headers = {{"Content-Type", "application/json"}},
+                     .body = RefusalBody(refuse.refusal).dump()};
+    this->RecordOutcome(request);
+  }
+  Refuse(this->context, *request.call, status, refuse.refusal);
 }
 
 auto RequestService::Execute(const routing::Eject& eject) -> void {
--- a/apps/sched/shard_runner.cc
+++ b/apps/sched/shard_runner.cc
@@ -1,6 +1,7 @@
 #include "shard_runner.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 #include "specifications.h"
@@ -164,6 +165,7 @@
   this->authority.ConfirmByLog(this->EpochInForce(),
                                this->context.log.LastGoodRead());
   this->scheduler.SetAuthority(this->AuthorityUntil());
+  this->RetryRecords(now);
   const auto output = this->scheduler.Tick(now);
   for (const auto& command : output.commands) {
     this->Send(command);
@@ -180,6 +182,18 @@
   }
 }
 
+// At once would spin on the core loop for as long as the log is down.
+auto ShardRunner::RetryRecords(TimePoint now) -> void {
+  constexpr std::chrono::seconds kRetryInterval{1};
+  if (now < this->next_retry) {
+    return;
+  }
+  this->next_retry = now + kRetryInterval;
+  for (const auto& append : std::exchange(this->refused, {})) {
+    append();
+  }
+}
+
 auto ShardRunner::Send(const WorkerCommand& command) -> void {
   const auto* host =
       this->context.hosts.Table().FindOrGone(command.worker.Text());
@@ -272,7 +286,8 @@
         const auto runner = weak.lock();
         // The worker keeps the result, so nothing is lost by another try.
         if (runner && result.verdict == Verdict::kNotRun) {
-          runner->Record(outcome);
+          runner->refused.push_back(
+              [self = runner.get(), outcome] { self->Record(outcome); });
         }
       });
 }
@@ -298,16 +313,18 @@
   if (!this->finishing.insert(id).second) {
     return;
   }
-  this->context.log.Append({journal::JobFinished{id, outcome, reason}},
-                           TimePoint::max(),
-                           [weak = this->weak_from_this(), id, outcome,
-                            reason](const daemon::RecordedResult& result) {
-                             const auto runner = weak.lock();
-                             if (runner && result.verdict == Verdict::kNotRun) {
-                               runner->finishing.erase(id);
-                               runner->FinishJob(id, outcome, reason);
-                             }
-                           });
+  this->context.log.Append(
+      {journal::JobFinished{id, outcome, reason}}, TimePoint::max(),
+      [weak = this->weak_from_this(), id, outcome,
+       reason](const daemon::RecordedResult& result) {
+        const auto runner = weak.lock();
+        if (runner && result.verdict == Verdict::kNotRun) {
+          runner->refused.push_back([self = runner.get(), id, outcome, reason] {
+            self->finishing.erase(id);
+            self->FinishJob(id, outcome, reason);
+          });
+        }
+      });
 }
 
 }  // namespace shallotbank::sched
--- a/apps/sched/shard_runner.h
+++ b/apps/sched/shard_runner.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "daemon/core_loop.h"
@@ -70,6 +71,7 @@
                  journal::WorkOutcome outcome,
                  const std::string& reason) -> void;
   auto FinishIfComplete(const JobId& job) -> void;
+  auto RetryRecords(TimePoint now) -> void;
   auto ApplyRecord(const journal::Record& record, TimePoint now) -> void;
 
   ShardId shard;
@@ -79,6 +81,9 @@
   membership::Authority authority;  // The workers are its witnesses.
   std::set<WorkerId> witnesses;
   std::set<JobId> finishing;
+  // Records that the log did not take; appended again a while later.
+  std::vector<std::function<void()>> refused;
+  TimePoint next_retry;
   bool draining = false;
 };
 
--- a/libs/scheduling/src/commands.cc
+++ b/libs/scheduling/src/commands.cc
@@ -85,6 +85,7 @@
     const auto& id = worker.to_start[i];
     auto& attempt = this->attempts.at(id);
     const auto& spec = this->jobs.at(attempt.job).spec;
+    attempt.is_sent = true;
     attempt.start_valid_until = valid_until;
     attempt.lease_bound = valid_until + spec.lease;
     worker.starting.push_back(id);
--- a/libs/scheduling/src/core.h
+++ b/libs/scheduling/src/core.h
@@ -101,7 +101,7 @@
   auto StopAttempt(Attempt& attempt, bool requeue) -> void;
   auto EndTask(JobRecord& job, int index, bool succeeded, std::string message)
       -> void;
-  auto ReturnTask(JobRecord& job, int index) -> void;
+  auto ReturnTask(JobRecord& job, int index, queueing::TaskEnd end) -> void;
 
   // commands.cc
   auto EmitCommands(TimePoint now) -> void;
--- a/libs/scheduling/src/records.h
+++ b/libs/scheduling/src/records.h
@@ -48,6 +48,7 @@
   int index = 0;
   WorkerId worker;
   AttemptState state = AttemptState::kStarting;
+  bool is_sent = false;  ///< A start may have reached the worker.
   /// A start that was sent cannot take effect after this.
   TimePoint start_valid_until;
   /// The worker has certainly stopped the task by then unless it is renewed.
--- a/libs/scheduling/src/recovery.cc
+++ b/libs/scheduling/src/recovery.cc
@@ -185,7 +185,7 @@
       attempt.is_replaced = true;
       job.current.erase(attempt.index);
       job.replaced.insert(id);
-      this->ReturnTask(job, attempt.index);
+      this->ReturnTask(job, attempt.index, queueing::TaskEnd::kRetry);
       this->Count("scheduler_replaced_total");
       changed = true;
     }
--- a/libs/scheduling/src/reports.cc
+++ b/libs/scheduling/src/reports.cc
@@ -248,7 +248,9 @@
       {job.spec.id, task_index, succeeded, std::move(message)});
 }
 
-auto ShardScheduler::Core::ReturnTask(JobRecord& job, int task_index) -> void {
+auto ShardScheduler::Core::ReturnTask(JobRecord& job,
+                                      int task_index,
+                                      queueing::TaskEnd end) -> void {
   job.states[static_cast<std::size_t>(task_index)] = TaskState::kWaiting;
   job.active--;
   if (job.is_cancelled) {
@@ -259,7 +261,7 @@
   }
   job.waiting.push_back(task_index);
   if (!job.is_held) {
-    this->queue.Ended(job.spec.id, queueing::TaskEnd::kReturned);
+    this->queue.Ended(job.spec.id, end);
   }
 }
 
@@ -270,7 +272,11 @@
   this->EraseAttempt(id);
   this->Count("scheduler_attempts_ended_total", reason);
   if (job != nullptr && !attempt.is_replaced) {
-    this->ReturnTask(*job, attempt.index);
+    this->ReturnTask(
+        *job, attempt.index,
+        attempt.state == AttemptState::kStarting && !attempt.is_sent
+            ? queueing::TaskEnd::kReturned
+            : queueing::TaskEnd::kRetry);
   }
 }
 
