Prove the placer against a naive one, measure it, take turns at reserving

Found: a gang that could not reserve kept others from trying for a second, and two gangs could keep a third from ever reserving. Each gang now has its own time for the next try, which doubles with each expiry up to 10 minutes.

--- /dev/null
+++ b/libs/placement/benchmarks/bench_cell.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <malloc.h>
+#include <time.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell_model.h"
+#include "naive_placer.h"
+#include "placement/placer.h"
+
+namespace shallotbank::placement {
+
+inline constexpr TimePoint kBenchStart{std::chrono::hours(1)};
+
+/// Bytes that the process has allocated.
+inline auto AllocatedBytes() -> std::size_t {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+/// Times of decisions. CPU time of the thread leaves out the time in which
+/// other processes had the core; the wall clock does not.
+struct Times {
+  std::vector<Duration> cpu;
+  std::vector<Duration> wall;
+};
+
+inline auto ThreadCpuTime() -> Duration {
+  timespec time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+/// Runs `work` and adds its time to `times`.
+template <typename Work>
+auto Timed(Times& times, const Work& work) {
+  const auto wall_start = std::chrono::steady_clock::now();
+  const auto cpu_start = ThreadCpuTime();
+  auto result = work();
+  times.cpu.push_back(ThreadCpuTime() - cpu_start);
+  times.wall.push_back(std::chrono::steady_clock::now() - wall_start);
+  return result;
+}
+
+/// A cell with the real index and, on request, the naive one in lockstep.
+class BenchCell {
+ public:
+  struct Placed {
+    RunningTask task;
+    std::size_t worker;  ///< Position in the model.
+  };
+
+  explicit BenchCell(CellModel& cell_model) : model(cell_model) {
+    const auto& workers = this->model.Workers();
+    this->index.Reserve(workers.size(), 20 * workers.size());
+    for (std::size_t i = 0; i < workers.size(); ++i) {
+      this->positions.emplace(workers[i].id, i);
+      if (!this->index.PutWorker(workers[i])) {
+        std::abort();
+      }
+    }
+  }
+
+  auto Commit(const RunningTask& task, const WorkerId& worker) -> void {
+    const auto position = this->positions.at(worker);
+    this->tasks.push_back({task, position});
+    this->used += task.declared;
+    if (this->naive) {
+      this->naive->Commit(position, task);
+    }
+  }
+  auto Commit(const TaskRequest& request, const WorkerId& worker) -> void {
+    this->Commit(RunningTask{.task = request.task,
+                             .job = request.job,
+                             .declared = request.need,
+                             .task_class = request.task_class,
+                             .may_stop = request.may_stop,
+                             .started = this->now},
+                 worker);
+  }
+  auto Commit(const GangRequest& gang, const std::vector<Placement>& placements)
+      -> void {
+    for (std::size_t i = 0; i < placements.size(); ++i) {
+      this->Commit(RunningTask{.task = gang.tasks[i].task,
+                               .job = gang.job,
+                               .declared = gang.tasks[i].need,
+                               .task_class = TaskClass::kGang,
+                               .may_stop = false,
+                               .started = this->now},
+                   placements[i].worker);
+    }
+  }
+
+  auto ReleaseRandom() -> void {
+    auto& chosen = this->tasks[this->model.Pick(this->tasks.size())];
+    std::swap(chosen, this->tasks.back());
+    const auto& last = this->tasks.back();
+    this->index.Release(last.task.task);
+    this->used -= last.task.declared;
+    if (this->naive) {
+      this->naive->Release(last.task.task.Text());
+    }
+    this->tasks.pop_back();
+  }
+
+  /// The larger of the allocated shares of cores and memory.
+  auto Fill() const -> double {
+    auto total = this->model.Total();
+    total.accelerators = 0;
+    return DominantShare(this->used, total);
+  }
+
+  /// Places batch and service tasks up to `fill`, or until so many in a row
+  /// are refused that the cell is full.
+  auto FillUpTo(double fill) -> void {
+    constexpr int kRefusals = 2000;
+    for (int refused = 0; this->Fill() < fill && refused < kRefusals;) {
+      const auto request = this->model.Pick(5) == 0 ? this->model.NextService()
+                                                    : this->model.NextBatch();
+      this->now += std::chrono::milliseconds(1);
+      const auto decision = this->placer.Place(request, this->now);
+      if (decision) {
+        this->Commit(request, decision.Value());
+        refused = 0;
+      } else {
+        ++refused;
+      }
+    }
+  }
+
+  auto StartNaive() -> void {
+    this->naive.emplace();
+    for (const auto& worker : this->model.Workers()) {
+      this->naive->workers.push_back({.known = worker});
+    }
+    for (const auto& placed : this->tasks) {
+      this->naive->Commit(placed.worker, placed.task);
+    }
+  }
+
+  // NOLINTNEXTLINE(cppcoreguidelines-avoid-const-or-ref-data-members)
+  CellModel& model;
+  WorkerIndex index;
+  Placer placer{index};
+  std::optional<NaivePlacer> naive;
+  std::vector<Placed> tasks;
+  std::unordered_map<WorkerId, std::size_t> positions;
+  Resources used;
+  TimePoint now = kBenchStart;
+};
+
+}  // namespace shallotbank::placement
--- a/libs/placement/include/placement/placer.h
+++ b/libs/placement/include/placement/placer.h
@@ -16,7 +16,8 @@
 /// How long a gang waits before it may reserve workers.
 inline constexpr std::chrono::seconds kStarvedAfter{30};
 /// How long a reservation lasts. The gang whose reservation expired may
-/// reserve again after another `kStarvedAfter`, so that others get a turn.
+/// reserve again after `kStarvedAfter`, and after twice the time with each
+/// further expiry, up to 10 minutes, so that other gangs get a turn.
 inline constexpr std::chrono::seconds kReservationLifetime{60};
 
 /// Tasks to stop on one worker so that an urgent task fits there.
--- a/libs/placement/src/gang_plan.cc
+++ b/libs/placement/src/gang_plan.cc
@@ -23,12 +23,10 @@
     -> bool {
   return std::all_of(groups.begin(), groups.end(), [&](const auto& group) {
     auto missing = Count(group);
-    for (const auto& domain : state.Domains()) {
-      domain.grid.VisitFits(group.need, [&](Slot, const Resources& room) {
-        missing -= TimesIn(group.need, room, missing);
-        return missing > 0;
-      });
-    }
+    state.Grid().VisitFits(group.need, [&](Slot, const Resources& room) {
+      missing -= TimesIn(group.need, room, missing);
+      return missing > 0;
+    });
     return missing == 0;
   });
 }
--- a/libs/placement/src/index_state.cc
+++ b/libs/placement/src/index_state.cc
@@ -142,6 +142,7 @@
   const auto room = record.Room();
   record.in_grid = record.IsOpen() && room.IsNonNegative();
   if (record.in_grid) {
+    this->grid.Insert(slot, record.order, room);
     this->domains[record.domain].grid.Insert(slot, record.order, room);
   }
 }
@@ -149,6 +150,7 @@
 auto IndexState::Unfile(Slot slot) -> void {
   auto& record = this->workers[slot];
   if (record.in_grid) {
+    this->grid.Erase(record.order, record.Room());
     this->domains[record.domain].grid.Erase(record.order, record.Room());
     record.in_grid = false;
   }
--- a/libs/placement/src/index_state.h
+++ b/libs/placement/src/index_state.h
@@ -15,6 +15,7 @@
 #include "placement/placer.h"
 #include "placement/task.h"
 #include "placement/worker.h"
+#include "reservation_turns.h"
 
 namespace shallotbank::placement {
 
@@ -65,7 +66,7 @@
  public:
   struct Domain {
     FailureDomain id;
-    FitGrid grid;  ///< Open workers with non-negative room.
+    FitGrid grid;  ///< Its part of `Grid`, for work that is spread.
     std::unordered_map<RackId, std::uint32_t> rack_numbers;
   };
   struct Rack {
@@ -95,6 +96,8 @@
     return this->workers[slot];
   }
   auto Slots() const -> Slot { return static_cast<Slot>(this->workers.size()); }
+  /// Open workers with non-negative room.
+  auto Grid() const -> const FitGrid& { return this->grid; }
   auto Domains() const -> const std::vector<Domain>& { return this->domains; }
   auto RackAt(std::uint32_t rack) const -> const Rack& {
     return this->racks[rack];
@@ -126,9 +129,7 @@
   /// Opens the reserved workers for the gang that holds them, or closes them.
   auto SetReserved(std::span<const Slot> reserved_slots, bool reserved) -> void;
 
-  JobId last_reservation;          ///< The last gang whose reservation expired.
-  TimePoint last_reservation_end;  ///< When it expired.
-  TimePoint next_reservation_try;  ///< Bounds the searches for workers to hold.
+  ReservationTurns turns;
 
  private:
   auto File(Slot slot) -> void;
@@ -151,6 +152,7 @@
   std::unordered_map<WorkerId, Slot> slots;
   std::unordered_map<TaskId, TaskRecord> tasks;
   JobSpreads spreads;
+  FitGrid grid;
   std::vector<Domain> domains;
   std::vector<Rack> racks;
   std::unordered_map<FailureDomain, std::uint32_t> domain_numbers;
--- a/libs/placement/src/placer.cc
+++ b/libs/placement/src/placer.cc
@@ -1,6 +1,8 @@
 #include "placement/placer.h"
 
-#include <unordered_set>
+#include <string_view>
+
+#include <boost/unordered/unordered_flat_set.hpp>
 
 #include "gang_plan.h"
 #include "index_state.h"
@@ -10,12 +12,10 @@
 namespace shallotbank::placement {
 namespace {
 
-constexpr std::chrono::seconds kReservationRetry{1};
-
 auto ExpireReservation(IndexState& state, TimePoint now) -> void {
   if (state.Reservation() && state.Reservation()->expires <= now) {
-    state.last_reservation = state.Reservation()->job;
-    state.last_reservation_end = state.Reservation()->expires;
+    state.turns.RecordExpiry(state.Reservation()->job,
+                             state.Reservation()->expires);
     state.EndReservation();
   }
 }
@@ -33,13 +33,13 @@
 
 auto FindInvalid(const IndexState& state, const GangRequest& gang)
     -> std::optional<WhyNot> {
-  std::unordered_set<TaskId> named;
+  boost::unordered_flat_set<std::string_view> named(gang.tasks.size());
   for (const auto& task : gang.tasks) {
     if (!IsValidAmount(task.need) || task.task.IsEmpty()) {
       return WhyNot::kInvalidNeed;
     }
     if (state.FindTask(task.task) != nullptr ||
-        !named.insert(task.task).second) {
+        !named.insert(task.task.Text()).second) {
       return WhyNot::kAlreadyPlaced;
     }
   }
@@ -82,20 +82,19 @@
                 const GangRequest& gang,
                 std::span<const NeedGroup> groups,
                 TimePoint now) -> void {
-  const bool had_its_turn = state.last_reservation == gang.job &&
-                            now < state.last_reservation_end + kStarvedAfter;
-  if (state.Reservation() || had_its_turn ||
-      now < gang.waiting_since + kStarvedAfter ||
-      now < state.next_reservation_try) {
+  const bool is_starved = now >= gang.waiting_since + kStarvedAfter;
+  if (state.Reservation() || !is_starved ||
+      !state.turns.MayTry(gang.job, now)) {
     return;
   }
-  state.next_reservation_try = now + kReservationRetry;
   auto chosen = ChooseReservation(state, groups);
-  if (!chosen.empty()) {
-    state.StartReservation({.job = gang.job,
-                            .expires = now + kReservationLifetime,
-                            .workers = std::move(chosen)});
+  if (chosen.empty()) {
+    state.turns.RecordFailedSearch(gang.job, now);
+    return;
   }
+  state.StartReservation({.job = gang.job,
+                          .expires = now + kReservationLifetime,
+                          .workers = std::move(chosen)});
 }
 
 auto ExplainGangRefusal(const IndexState& state,
@@ -178,6 +177,7 @@
   if (is_holder) {
     state.EndReservation();
   }
+  state.turns.Forget(gang.job);
   std::vector<Placement> placements;
   placements.reserve(gang.tasks.size());
   for (std::size_t i = 0; i < gang.tasks.size(); ++i) {
@@ -228,6 +228,7 @@
 }
 
 auto Placer::CancelReservation(const JobId& job) -> void {
+  this->state->turns.Forget(job);
   if (this->state->Reservation() && this->state->Reservation()->job == job) {
     this->state->EndReservation();
   }
--- a/libs/placement/src/search.cc
+++ b/libs/placement/src/search.cc
@@ -77,11 +77,8 @@
                 const Resources& need,
                 SlotSpan excluded) -> Slot {
   FitCandidate best;
-  for (const auto& domain : state.Domains()) {
-    domain.grid.Improve(need, best, [excluded](Slot slot) {
-      return !Contains(excluded, slot);
-    });
-  }
+  state.Grid().Improve(
+      need, best, [excluded](Slot slot) { return !Contains(excluded, slot); });
   return best.slot;
 }
 
--- a/libs/placement/src/stop_advice.cc
+++ b/libs/placement/src/stop_advice.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "index_state.h"
@@ -51,119 +52,139 @@
 auto FindCandidates(const IndexState& state,
                     const Resources& need,
                     SlotSpan excluded) -> std::vector<Candidate> {
-  std::vector<Candidate> candidates;
+  const auto is_better = [](const Candidate& left, const Candidate& right) {
+    return left.lack < right.lack ||
+           (left.lack == right.lack && left.order < right.order);
+  };
+  // A heap with the worst of the best so far on top.
+  std::vector<Candidate> best;
+  best.reserve(kWorkersExamined + 1);
   for (Slot slot = 0; slot < state.Slots(); ++slot) {
     const auto& worker = state.At(slot);
     const auto room = worker.Room();
     const auto most = room + worker.used_by_stoppable;
-    if (!worker.present || !worker.IsLive() || !need.FitsIn(most) ||
-        !most.IsNonNegative() ||
+    if (!need.FitsIn(most) || !most.IsNonNegative() || !worker.present ||
+        !worker.IsLive() ||
         std::find(excluded.begin(), excluded.end(), slot) != excluded.end()) {
       continue;
     }
-    candidates.push_back({LackScore(Lack(need, room)), worker.order, slot});
+    const Candidate candidate{LackScore(Lack(need, room)), worker.order, slot};
+    const bool is_full = best.size() == kWorkersExamined;
+    if (is_full && !is_better(candidate, best.front())) {
+      continue;
+    }
+    best.push_back(candidate);
+    std::push_heap(best.begin(), best.end(), is_better);
+    if (is_full) {
+      std::pop_heap(best.begin(), best.end(), is_better);
+      best.pop_back();
+    }
   }
-  const auto is_better = [](const Candidate& left, const Candidate& right) {
-    return std::tuple(left.lack, left.order) <
-           std::tuple(right.lack, right.order);
-  };
-  const auto examined = std::min(candidates.size(), kWorkersExamined);
-  std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(examined),
-                    candidates.end(), is_better);
-  candidates.resize(examined);
-  return candidates;
+  std::sort_heap(best.begin(), best.end(), is_better);
+  return best;
 }
 
+/// A task that may be stopped, with the work that this loses.
+struct Option {
+  const TaskRecord* task;
+  std::int64_t size;
+  double lost;
+};
+
 /// The cheapest single task or, failing that, pair that frees `lack`.
-auto FindOneOrTwo(const std::vector<const TaskRecord*>& tasks,
-                  const Resources& lack,
-                  TimePoint now) -> std::optional<Victims> {
-  std::optional<Victims> best;
-  const auto offer = [&best](Victims victims) {
-    if (!best || victims.IsBetterThan(*best)) {
-      best = std::move(victims);
-    }
-  };
-  for (const auto* task : tasks) {
-    if (lack.FitsIn(task->used)) {
-      offer({{task}, LostWork(*task, now)});
+auto FindOneOrTwo(const std::vector<Option>& options, const Resources& lack)
+    -> std::optional<Victims> {
+  Victims best{.tasks = {}, .lost = std::numeric_limits<double>::infinity()};
+  for (const auto& option : options) {
+    if (option.lost < best.lost && lack.FitsIn(option.task->used)) {
+      best = {{option.task}, option.lost};
     }
   }
-  if (best) {
+  if (!best.tasks.empty()) {
     return best;
   }
-  const auto paired = std::min(tasks.size(), kTasksPaired);
+  const auto paired = std::min(options.size(), kTasksPaired);
   for (std::size_t i = 0; i < paired; ++i) {
     for (std::size_t j = i + 1; j < paired; ++j) {
-      if (lack.FitsIn(tasks[i]->used + tasks[j]->used)) {
-        offer({{tasks[i], tasks[j]},
-               LostWork(*tasks[i], now) + LostWork(*tasks[j], now)});
+      const auto lost = options[i].lost + options[j].lost;
+      if (lost < best.lost &&
+          lack.FitsIn(options[i].task->used + options[j].task->used)) {
+        best = {{options[i].task, options[j].task}, lost};
       }
     }
   }
-  return best;
+  return best.tasks.empty() ? std::nullopt : std::optional(std::move(best));
 }
 
 /// Takes the task that helps most until enough is free, then drops those that
 /// turned out to be superfluous, the most costly first.
-auto FindGreedily(std::vector<const TaskRecord*> tasks,
-                  const Resources& lack,
-                  TimePoint now) -> Victims {
-  Victims victims;
+auto FindGreedily(std::vector<Option> options, const Resources& lack)
+    -> Victims {
+  std::vector<Option> taken;
   Resources freed;
   while (!lack.FitsIn(freed)) {
     const auto left = Lack(lack, freed);
-    const auto help = [&left](const TaskRecord* task) {
-      return FitScore({std::min(task->used.cores_milli, left.cores_milli),
-                       std::min(task->used.memory_mib, left.memory_mib),
-                       std::min(task->used.accelerators, left.accelerators)});
+    const auto help = [&left](const Option& option) {
+      const auto& used = option.task->used;
+      return FitScore({std::min(used.cores_milli, left.cores_milli),
+                       std::min(used.memory_mib, left.memory_mib),
+                       std::min(used.accelerators, left.accelerators)});
     };
-    const auto most = std::max_element(
-        tasks.begin(), tasks.end(),
-        [&help](const auto* a, const auto* b) { return help(a) < help(b); });
-    freed += (*most)->used;
-    victims.tasks.push_back(*most);
-    tasks.erase(most);
+    const auto most =
+        std::max_element(options.begin(), options.end(),
+                         [&help](const Option& a, const Option& b) {
+                           return help(a) < help(b);
+                         });
+    freed += most->task->used;
+    taken.push_back(*most);
+    options.erase(most);
   }
-  std::sort(victims.tasks.begin(), victims.tasks.end(),
-            [now](const auto* a, const auto* b) {
-              return LostWork(*a, now) > LostWork(*b, now);
-            });
-  std::erase_if(victims.tasks, [&](const TaskRecord* task) {
-    if (!lack.FitsIn(freed - task->used)) {
-      return false;
+  std::stable_sort(
+      taken.begin(), taken.end(),
+      [](const Option& a, const Option& b) { return a.lost > b.lost; });
+  Victims victims;
+  for (const auto& option : taken) {
+    if (lack.FitsIn(freed - option.task->used)) {
+      freed -= option.task->used;
+    } else {
+      victims.tasks.push_back(option.task);
+      victims.lost += option.lost;
     }
-    freed -= task->used;
-    return true;
-  });
-  for (const auto* task : victims.tasks) {
-    victims.lost += LostWork(*task, now);
   }
   return victims;
 }
 
-auto FindVictims(const WorkerRecord& worker,
-                 const Resources& need,
-                 TimePoint now,
-                 std::size_t limit) -> std::optional<Victims> {
-  const auto lack = Lack(need, worker.Room());
-  std::vector<const TaskRecord*> tasks;
+/// The tasks that may be stopped, the largest first.
+auto StoppableOn(const WorkerRecord& worker, TimePoint now)
+    -> std::vector<Option> {
+  std::vector<Option> options;
+  options.reserve(worker.tasks);
   for (const auto* task = worker.first_task; task != nullptr;
        task = task->next) {
     if (task->may_stop) {
-      tasks.push_back(task);
+      options.push_back({task, LackScore(task->used), LostWork(*task, now)});
     }
   }
-  std::sort(tasks.begin(), tasks.end(), [](const auto* a, const auto* b) {
-    return std::tuple(LackScore(a->used), a->id->Text()) >
-           std::tuple(LackScore(b->used), b->id->Text());
-  });
-  auto victims = FindOneOrTwo(tasks, lack, now);
+  std::sort(options.begin(), options.end(),
+            [](const Option& a, const Option& b) {
+              return a.size != b.size ? a.size > b.size
+                                      : a.task->id->Text() < b.task->id->Text();
+            });
+  return options;
+}
+
+/// Sets of more than two are looked for only if `limit` admits them.
+auto FindVictims(const WorkerRecord& worker,
+                 const Resources& need,
+                 TimePoint now,
+                 std::size_t limit) -> std::optional<Victims> {
+  const auto lack = Lack(need, worker.Room());
+  auto options = StoppableOn(worker, now);
+  auto victims = FindOneOrTwo(options, lack);
   if (victims || limit <= 2) {
     return victims;
   }
-  return FindGreedily(std::move(tasks), lack, now);
+  return FindGreedily(std::move(options), lack);
 }
 
 }  // namespace
@@ -174,6 +195,10 @@
     return WhyNot::kInvalidNeed;
   }
   const auto excluded = FindSlots(*this->state, request.excluded);
+  const auto free_slot = FindPacked(*this->state, request.need, excluded);
+  if (free_slot != kNoSlot) {
+    return StopAdvice{this->state->At(free_slot).id, {}};
+  }
   std::optional<Victims> best;
   Slot best_slot = kNoSlot;
   for (const auto& candidate :
@@ -182,8 +207,6 @@
     if (request.need.FitsIn(worker.Room())) {
       return StopAdvice{worker.id, {}};
     }
-    // More than two tasks are looked for only where that could be an
-    // improvement.
     const auto limit = best ? best->tasks.size() : worker.tasks;
     auto victims = FindVictims(worker, request.need, now, limit);
     if (victims && (!best || victims->IsBetterThan(*best))) {
--- a/libs/placement/tests/reasons_test.cc
+++ b/libs/placement/tests/reasons_test.cc
@@ -141,6 +141,83 @@
   }
 }
 
+struct ProbeCase {
+  const char* name;
+  std::function<void(Cell&)> prepare;
+  const char* worker;
+  std::optional<WhyNot> expected;
+};
+
+auto operator<<(std::ostream& out, const ProbeCase& c) -> std::ostream& {
+  return out << c.name;
+}
+
+const std::vector<ProbeCase> kProbeCases{
+    {"room", [](Cell& cell) { cell.Fill("a", 3000); }, "a", {}},
+    {"no room", [](Cell& cell) { cell.Fill("a", 3500); }, "a",
+     WhyNot::kNoRoomNow},
+    {"not quarantined", [](Cell&) {}, "b", WhyNot::kNotProbeable},
+    {"leaving too",
+     [](Cell& cell) { cell.index.SetLeaving(WorkerId("a"), true); }, "a",
+     WhyNot::kNotProbeable},
+    {"unknown", [](Cell&) {}, "x", WhyNot::kUnknownWorker},
+};
+
+// Guards against a probe that overcommits, or goes where none should go.
+BOOST_DATA_TEST_CASE(Probes, kProbeCases, c) {
+  Cell cell;
+  cell.index.SetQuarantined(WorkerId("a"), true);
+  c.prepare(cell);
+  const auto tasks = cell.index.TaskCount();
+  const auto expected = c.expected;
+  const auto decision = cell.placer.PlaceProbe(
+      WorkerId(c.worker), MakeTask("t", {1000, 1, 0}), kStart);
+  BOOST_TEST(static_cast<bool>(decision) == !expected.has_value());
+  BOOST_TEST(cell.index.TaskCount() == tasks + (expected ? 0 : 1));
+  if (!decision) {
+    BOOST_TEST(decision.Reason() == *expected);
+  }
+}
+
+// Guards against one gang that holds workers for ever while another starves.
+BOOST_AUTO_TEST_CASE(ReservationGoesRound) {
+  Cell cell;
+  cell.Fill("a", 1000);
+  cell.Fill("b", 1000);
+  const auto first = MakeGang("first", 2, {4000, 0, 0});
+  const auto second = MakeGang("second", 2, {4000, 0, 0});
+  const auto holder = [&cell](TimePoint now) {
+    const auto current = cell.placer.CurrentReservation(now);
+    return current ? current->job.Text() : std::string();
+  };
+  const auto ask = [&cell](const GangRequest& gang, TimePoint now) {
+    BOOST_TEST(!cell.placer.PlaceGang(gang, now));
+  };
+  auto now = kStart + kStarvedAfter - Duration(1);
+  ask(first, now);
+  BOOST_TEST(holder(now).empty());
+  now += Duration(1);
+  ask(first, now);
+  ask(second, now);
+  BOOST_TEST(holder(now) == "first");
+  now += kReservationLifetime;
+  ask(first, now);
+  BOOST_TEST(holder(now).empty());
+  ask(second, now);
+  BOOST_TEST(holder(now) == "second");
+  cell.placer.CancelReservation(JobId("first"));
+  BOOST_TEST(holder(now) == "second");
+  cell.placer.CancelReservation(JobId("second"));
+  BOOST_TEST(holder(now).empty());
+  now += kStarvedAfter;
+  ask(first, now);
+  BOOST_TEST(holder(now) == "first");
+  cell.index.Release(TaskId("on-a"));
+  cell.index.Release(TaskId("on-b"));
+  BOOST_TEST(static_cast<bool>(cell.placer.PlaceGang(first, now)));
+  BOOST_TEST(holder(now).empty());
+}
+
 struct GangCase {
   const char* name;
   std::vector<Resources> needs;
