--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -291,7 +291,7 @@
       text_of '^libs/http/src/' | literals '(Close|CloseAll|CloseLocked|FinishLocked)[(]"[a-z0-9_-]+"'
       ;;
     log_appends_refused_total)
-      text_of '^libs/platform/src/log_appender[.]cc$' | literals '(refused|[.]reason) = "[a-z0-9_-]+"'
+      text_of '^libs/platform/src/log_appender[.]cc$' | literals '((refused|[.]reason) =|return) "[a-z0-9_-]+"'
       ;;
     rpc_calls_not_run_total | peer_heartbeats_failed_total | job_status_from_log_total | rpc_calls_may_have_run_total)
       { text_of '^libs/rpc/src/(link|client_core|peer_client|peer_loads)[.]cc$' |
