--- a/apps/entry/request_service.h
+++ b/apps/entry/request_service.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "api.h"
 #include "authorization.h"
@@ -27,12 +28,16 @@
                        rpc::Reply<rpc::ForwardResponse> reply) -> void;
   auto HandleHosts(TimePoint now) -> void;
   auto HandlePeer(const daemon::PeerInfo& peer) -> void;
+  /// No request of this process runs on a minion of the group.
+  auto IsIdle(const ResourceId& group) const -> bool;
   auto GroupLost(const ResourceId& group) -> void;
   auto Tick(TimePoint now) -> void;
 
   auto FreeSlots() -> std::vector<rpc::FreeSlots>;
   /// Requests that have not been answered.
-  auto Open() const -> std::size_t { return this->open.size(); }
+  auto Open() const -> std::size_t {
+    return this->open.size() + this->repeats.size();
+  }
 
  private:
   // A request in progress, of a caller or of a peer.
@@ -51,7 +56,13 @@
   auto Take(const ApiCall& call, const Caller& caller)
       -> boost::leaf::result<OpenRequest>;
   auto Record(const std::shared_ptr<OpenRequest>& request) -> void;
-  auto RefuseRepeat(OpenRequest& request, const std::string& digest) -> bool;
+  auto AnswerRepeat(const std::shared_ptr<OpenRequest>& request,
+                    const std::string& digest) -> bool;
+  auto ReplyFromRecord(OpenRequest& request, const journal::Answer& answer)
+      -> void;
+  auto MayStillEnd(const OpenRequest& request,
+                   const journal::RequestEntry& entry) const -> bool;
+  auto AnswerWaitingRepeats() -> void;
   auto Submit(OpenRequest request) -> void;
   auto Execute(const routing::Actions& actions) -> void;
   auto Execute(const routing::Dispatch& dispatch) -> void;
@@ -64,6 +75,7 @@
   auto Complete(routing::AttemptId attempt,
                 TimePoint sent_at,
                 http::Reply reply) -> void;
+  auto CompleteUnsent(routing::AttemptId attempt) -> void;
   auto RecordOutcome(const OpenRequest& request) -> void;
 
   Context& context;
@@ -71,6 +83,12 @@
   MinionGroups& groups;
   routing::MinionRouter router;
   std::unordered_map<RequestId, OpenRequest> open;
+  // Repeats of requests that are still in progress at another process.
+  struct WaitingRepeat {
+    std::shared_ptr<OpenRequest> request;
+    std::string digest;
+  };
+  std::vector<WaitingRepeat> repeats;
   http::Reply current;  // The reply that the present actions are about.
   std::uint64_t next_request = 1;
   std::uint64_t next_token = 1;
--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-SchedDaemon::SchedDaemon(daemon::CommonSettings given)
+SchedDaemon::SchedDaemon(daemon::CommonSettings given, Duration log_retention)
     : settings(std::move(given)),
       process(daemon::MakeProcessId(this->settings.host, "sched")),
       log({.stream_url = this->settings.stream_url, .process = this->process},
@@ -36,25 +36,36 @@
             this->loop,
             this->client,
             this->metrics),
-      peers({.listen_address = this->settings.rpc.address,
+      peers(this->process,
+            {.listen_address = this->settings.rpc.address,
              .listen_port = this->settings.rpc.port,
              .seeds = this->settings.peers},
             this->loop,
             this->metrics),
       claimer(this->process,
               rpc::Role::kSched,
+              ownership::ClaimPlanner::Balance::kKeep,
               this->log,
               this->peers,
               {.gained =
                    [this](const ResourceId& resource,
                           Epoch epoch,
-                          bool /*is_takeover*/) {
-                     this->HandleGained(resource, epoch);
+                          bool is_takeover) {
+                     this->HandleGained(resource, epoch, is_takeover);
                    },
                .lost =
                    [this](const ResourceId& resource) {
                      this->runners.erase(resource);
-                   }}),
+                   },
+               .drain =
+                   [this](const ResourceId& resource) {
+                     if (const auto found = this->runners.find(resource);
+                         found != this->runners.end()) {
+                       found->second->Drain();
+                     }
+                   },
+               .is_idle = [](const ResourceId&) { return true; }}),
+      snapshots(log_retention, this->log, this->metrics),
       server({.address = this->settings.http.address,
               .port = this->settings.http.port,
               .threads = 1,
@@ -135,6 +146,7 @@
 auto SchedDaemon::DescribeSelf() -> rpc::PeerState {
   rpc::PeerState state;
   state.process = this->process;
+  state.incarnation = this->incarnation;
   state.host = this->settings.host;
   state.role = rpc::Role::kSched;
   state.http_address =
@@ -151,12 +163,16 @@
 auto SchedDaemon::Tick() -> void {
   const auto now = SystemClock().Now();
   this->hosts.Tick(now);
+  this->peers.Table().LogRead(this->log.LastGoodRead(), this->log.Head());
   this->peers.Tick(now);
   this->UpdateResources();
   this->claimer.Tick(now);
   for (const auto& [resource, runner] : this->runners) {
     runner->Tick(now);
   }
+  if (this->RunnerOf(configuration::ShardAt(0)) != nullptr) {
+    this->snapshots.Tick(now);
+  }
   this->CheckStop(now);
 }
 
@@ -174,8 +190,9 @@
   this->claimer.SetResources(wanted);
 }
 
-auto SchedDaemon::HandleGained(const ResourceId& resource, Epoch epoch)
-    -> void {
+auto SchedDaemon::HandleGained(const ResourceId& resource,
+                               Epoch epoch,
+                               bool is_takeover) -> void {
   const auto shards =
       this->log.State()->Configuration().Get().GetPolicy().shards;
   const auto number = ShardNumber(resource, shards);
@@ -183,7 +200,7 @@
     return;
   }
   auto runner = std::make_shared<ShardRunner>(
-      configuration::ShardAt(number), number, epoch,
+      configuration::ShardAt(number), number, epoch, is_takeover,
       ShardRunner::Context{this->loop, this->log, this->hosts, this->client,
                            this->metrics});
   runner->Load(SystemClock().Now());
@@ -211,11 +228,13 @@
     this->is_released = true;
     this->claimer.ReleaseAll();
   }
+  const bool is_done = this->is_released && this->claimer.Owned().empty() &&
+                       this->log.OpenAppends() == 0;
   if (is_late) {
     LogEvent(Event::kDrainDeadlinePassed,
              {{"appends", std::to_string(this->log.OpenAppends())}});
   }
-  if (is_late || (this->is_released && this->log.OpenAppends() == 0)) {
+  if (is_late || is_done) {
     this->loop.Stop();
   }
 }
--- a/apps/sched/shard_runner.h
+++ b/apps/sched/shard_runner.h
@@ -5,12 +5,14 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/metrics.h"
 #include "daemon/core_loop.h"
 #include "daemon/host_poller.h"
 #include "daemon/log_view.h"
 #include "http/client.h"
+#include "membership/authority.h"
 #include "scheduling/shard_scheduler.h"
 
 namespace shallotbank::sched {
@@ -28,7 +30,11 @@
     Metrics& metrics;
   };
 
-  ShardRunner(ShardId shard, std::int64_t number, Epoch epoch, Context context);
+  ShardRunner(ShardId shard,
+              std::int64_t number,
+              Epoch epoch,
+              bool is_takeover,
+              Context context);
 
   /// Takes the unfinished jobs of the log. Call once, before anything else.
   auto Load(TimePoint now) -> void;
@@ -45,12 +51,11 @@
   }
   /// Until when this process may act as owner.
   auto AuthorityUntil() const -> TimePoint;
-  /// A worker has seen a newer epoch.
-  auto IsFenced() const -> bool { return this->fenced; }
   /// Stops starting work, before the shard is released.
   auto Drain() -> void { this->draining = true; }
 
  private:
+  auto EpochInForce() const -> Epoch;
   auto AddJob(const journal::Job& job, TimePoint now) -> void;
   auto UpdatePolicy() -> void;
   auto Send(const scheduling::WorkerCommand& command) -> void;
@@ -66,19 +71,20 @@
                  journal::WorkOutcome outcome,
                  const std::string& reason) -> void;
   auto FinishIfComplete(const JobId& job) -> void;
+  auto RetryRecords(TimePoint now) -> void;
   auto ApplyRecord(const journal::Record& record, TimePoint now) -> void;
 
   ShardId shard;
   std::int64_t number;
   Context context;
   scheduling::ShardScheduler scheduler;
-  std::map<WorkerId, TimePoint> confirmed;  // Send time of the last answer.
+  membership::Authority authority;  // The workers are its witnesses.
+  std::set<WorkerId> witnesses;
   std::set<JobId> finishing;
-  bool fenced = false;
+  // Records that the log did not take; appended again a while later.
+  std::vector<std::function<void()>> refused;
+  TimePoint next_retry;
   bool draining = false;
 };
 
-/// How long an owner may act after its ownership was confirmed.
-inline constexpr std::chrono::seconds kAuthority{3};
-
 }  // namespace shallotbank::sched
--- a/libs/scheduling/src/records.h
+++ b/libs/scheduling/src/records.h
@@ -48,6 +48,7 @@
   int index = 0;
   WorkerId worker;
   AttemptState state = AttemptState::kStarting;
+  bool is_sent = false;  ///< A start may have reached the worker.
   /// A start that was sent cannot take effect after this.
   TimePoint start_valid_until;
   /// The worker has certainly stopped the task by then unless it is renewed.
@@ -59,6 +60,15 @@
   bool is_urgent_victim = false;
 };
 
+/// Tasks that were started again although an earlier attempt may still run on
+/// a worker that has not answered.
+struct UnseenWork {
+  TeamId team;
+  Resources need;  ///< Of all of them.
+  std::int64_t tasks = 0;
+  TimePoint until;
+};
+
 enum class CommandKind : std::uint8_t {
   kNone,
   kAttach,
