Mend what the client's trials found in the daemons

Cause: trials of the operator's client found that dry_run=yes published for real; that a host denied a job which another had just accepted (10 of 20 tries); that submissions during an outage waited 5 s and ended in doubt; that the first entry process took all 12 minion groups; and that long ids, unknown explain paths and reused idempotency keys got wrong answers. Ruled out: asking every peer before a job is denied; one read of the log that begins after the request suffices. Before: as above.

--- a/apps/entry/authorization.cc
+++ b/apps/entry/authorization.cc
@@ -99,6 +99,15 @@
   return {};
 }
 
+auto Authorization::CheckLog() -> leaf::result<void> {
+  if (!this->context.log.CanAppend()) {
+    return Error(
+        kUnavailable, "log_unavailable", "",
+        "the platform's log does not take records now; try again later");
+  }
+  return {};
+}
+
 auto Authorization::IsViewFresh() -> bool {
   using membership::FreshnessKind;
   const auto now = SystemClock().Now();
--- a/apps/entry/authorization.h
+++ b/apps/entry/authorization.h
@@ -34,6 +34,8 @@
   auto CheckOperator(const ApiCall& call) -> boost::leaf::result<void>;
   /// Errors: `ApiError` while the view may be out of date.
   auto CheckView() -> boost::leaf::result<void>;
+  /// Errors: `ApiError` while the log takes no records.
+  auto CheckLog() -> boost::leaf::result<void>;
 
   /// Whether the own view may be used now; reads from a peer if that is ahead.
   auto IsViewFresh() -> bool;
--- a/apps/entry/configuration_service.cc
+++ b/apps/entry/configuration_service.cc
@@ -62,8 +62,13 @@
         }
         BOOST_LEAF_CHECK(configuration::Apply(table.Get(), change.changes,
                                               change.unknown_fields));
-        const bool is_dry_run =
-            call.request.QueryParameter("dry_run") == "true";
+        const auto dry_run = call.request.QueryParameter("dry_run");
+        if (!dry_run.empty() && dry_run != "true" && dry_run != "false") {
+          return leaf::new_error(
+              ApiError{400, Refusal{Verdict::kNotRun, "invalid_parameter",
+                                    "dry_run", "must be true or false"}});
+        }
+        const bool is_dry_run = dry_run == "true";
         if (is_dry_run) {
           Reply(this->context, call, 200,
                 {{"version", table.Version()},
@@ -71,6 +76,7 @@
                  {"changes", change.changes.size()}});
           return {};
         }
+        BOOST_LEAF_CHECK(this->authorization.CheckLog());
         this->Append(std::make_shared<ApiCall>(std::move(call)),
                      {change.expected_version, std::move(change.changes)});
         return {};
--- a/apps/entry/entry_daemon.cc
+++ b/apps/entry/entry_daemon.cc
@@ -14,6 +14,7 @@
 // requests are refused, so that the balancer has turned elsewhere.
 constexpr std::chrono::milliseconds kBalancerDelay{300};
 constexpr std::chrono::seconds kConnectionDrain{5};
+constexpr std::size_t kLongestRequestId = 200;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
@@ -207,6 +208,12 @@
   if (is_late) {
     Refuse(this->context, call, kUnavailable,
            {Verdict::kNotRun, "stopping", "", "this host is stopping"});
+  } else if (call.request_id.size() > kLongestRequestId) {
+    call.request_id.resize(kLongestRequestId);
+    Refuse(this->context, call, 400,
+           {Verdict::kNotRun, "invalid_header", header::kRequestId,
+            "an id has at most " + std::to_string(kLongestRequestId) +
+                " characters"});
   } else if (path == "/v1/requests" && method == "POST") {
     this->requests.Handle(std::move(call));
   } else if (path == "/v1/jobs" && method == "POST") {
@@ -221,7 +228,8 @@
     this->configuration.Publish(std::move(call));
   } else if (path == "/v1/hosts" && method == "GET") {
     this->status.ShowHosts(std::move(call), this->DescribeSelf());
-  } else if (path.starts_with(kExplainPrefix) && method == "GET") {
+  } else if ((path == "/v1/explain/workers" || path == "/v1/explain/shares") &&
+             method == "GET") {
     this->status.Explain(std::move(call), path.substr(kExplainPrefix.size()));
   } else {
     Refuse(this->context, call, kNotFound,
@@ -255,6 +263,7 @@
   this->claimer.Tick(now);
   this->groups.Tick(now);
   this->requests.Tick(now);
+  this->jobs.Tick();
   this->CheckStop(now);
 }
 
--- a/apps/entry/job_service.cc
+++ b/apps/entry/job_service.cc
@@ -1,6 +1,7 @@
 #include "job_service.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "daemon/job_view.h"
 #include "journal/claim_table.h"
@@ -16,6 +17,7 @@
 constexpr int kUnprocessable = 422;
 constexpr std::chrono::seconds kSubmitTimeout{5};
 constexpr std::chrono::milliseconds kOwnerTimeout{800};
+constexpr std::chrono::milliseconds kReadTimeout{1000};
 constexpr std::size_t kListedJobs = 200;
 constexpr std::int64_t kLongestRunMs = 30LL * 24 * 3600 * 1000;
 
@@ -82,11 +84,18 @@
         const auto* known = this->context.log.State()->Jobs().FindByKey(
             spec.team, spec.idempotency_key);
         if (!spec.idempotency_key.empty() && known != nullptr) {
+          if (known->spec.profile != spec.profile ||
+              known->spec.tasks != spec.tasks) {
+            return Error(kUnprocessable, "idempotency_key_reused",
+                         header::kIdempotencyKey,
+                         "the key belongs to another job");
+          }
           Reply(this->context, call, kAccepted,
                 {{"job", known->spec.id.Text()}, {"repeated", true}});
           return {};
         }
         BOOST_LEAF_CHECK(this->CheckFeasible(spec));
+        BOOST_LEAF_CHECK(this->authorization.CheckLog());
         this->AppendJob(std::make_shared<ApiCall>(std::move(call)),
                         std::move(spec));
         return {};
@@ -210,7 +219,30 @@
   return job;
 }
 
+// A job that another host has just accepted may not have been read here yet,
+// so a job is denied only after a read that began later than the request.
+auto JobService::MustReadFirst(const ApiCall& call, const JobId& id) const
+    -> bool {
+  const auto* state = this->context.log.State();
+  const bool is_known = state != nullptr && state->Jobs().Find(id) != nullptr;
+  const auto now = SystemClock().Now();
+  return !is_known && this->context.log.LastGoodRead() < call.received_at &&
+         now < call.received_at + kReadTimeout;
+}
+
+auto JobService::Tick() -> void {
+  for (auto& lookup : std::exchange(this->lookups, {})) {
+    lookup();
+  }
+}
+
 auto JobService::Cancel(ApiCall call, const JobId& id) -> void {
+  if (this->MustReadFirst(call, id)) {
+    auto shared = std::make_shared<ApiCall>(std::move(call));
+    this->lookups.push_back(
+        [this, shared, id] { this->Cancel(std::move(*shared), id); });
+    return;
+  }
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(job, this->FindJob(call, id));
@@ -220,6 +252,7 @@
           Reply(this->context, call, 200, body);
           return {};
         }
+        BOOST_LEAF_CHECK(this->authorization.CheckLog());
         auto shared = std::make_shared<ApiCall>(std::move(call));
         this->context.log.Append(
             {journal::CancelRequested{id}},
@@ -247,6 +280,12 @@
 }
 
 auto JobService::Show(ApiCall call, const JobId& id) -> void {
+  if (this->MustReadFirst(call, id)) {
+    auto shared = std::make_shared<ApiCall>(std::move(call));
+    this->lookups.push_back(
+        [this, shared, id] { this->Show(std::move(*shared), id); });
+    return;
+  }
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_AUTO(job, this->FindJob(call, id));
--- a/apps/entry/job_service.h
+++ b/apps/entry/job_service.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "api.h"
 #include "authorization.h"
@@ -18,6 +20,8 @@
   auto Cancel(ApiCall call, const JobId& id) -> void;
   auto Show(ApiCall call, const JobId& id) -> void;
   auto List(ApiCall call) -> void;
+  /// Looks again for jobs that were not known when they were asked for.
+  auto Tick() -> void;
 
  private:
   auto MakeSpec(const ApiCall& call, const Caller& caller)
@@ -27,12 +31,14 @@
       -> void;
   auto FindJob(const ApiCall& call, const JobId& id)
       -> boost::leaf::result<const journal::Job*>;
+  auto MustReadFirst(const ApiCall& call, const JobId& id) const -> bool;
   auto AskOwner(const std::shared_ptr<ApiCall>& call, const journal::Job& job)
       -> void;
   auto ReplyFromLog(ApiCall& call, const JobId& id, const char* owner) -> void;
 
   Context& context;
   Authorization& authorization;
+  std::vector<std::function<void()>> lookups;
   std::uint64_t next_job = 1;
 };
 
--- a/libs/daemon/include/daemon/log_view.h
+++ b/libs/daemon/include/daemon/log_view.h
@@ -73,7 +73,10 @@
   auto Append(std::vector<journal::Record> records,
               TimePoint deadline,
               Done done) -> void;
-  auto CanAppend() const -> bool { return this->appender->IsHealthy(); }
+  /// False while the latest append or read has failed.
+  auto CanAppend() const -> bool {
+    return this->reachable && this->appender->IsHealthy();
+  }
   /// Appends whose outcome is not known yet.
   auto OpenAppends() const -> std::size_t { return this->open_appends; }
 
--- a/libs/daemon/include/daemon/resource_claimer.h
+++ b/libs/daemon/include/daemon/resource_claimer.h
@@ -65,6 +65,7 @@
   ownership::ClaimPlanner planner;
   std::vector<ResourceId> wanted;
   std::map<ResourceId, Resource> resources;
+  TimePoint started_at;
   bool releasing = false;
   int open_appends = 0;
 };
--- a/libs/daemon/src/job_view.cc
+++ b/libs/daemon/src/job_view.cc
@@ -26,6 +26,11 @@
 }  // namespace
 
 auto DescribeJob(const journal::Job& job) -> nlohmann::json {
+  const bool is_cancelled = job.state == journal::JobState::kFinished &&
+                            job.outcome == journal::WorkOutcome::kCancelled;
+  // A cancelled job has no record for each task that did not end.
+  const auto cancelled =
+      is_cancelled ? job.spec.tasks - job.succeeded - job.failed : 0;
   nlohmann::json result{{"job", job.spec.id.Text()},
                         {"team", job.spec.team.Text()},
                         {"profile", job.spec.profile.Text()},
@@ -34,7 +39,7 @@
                          {{"total", job.spec.tasks},
                           {"succeeded", job.succeeded},
                           {"failed", job.failed},
-                          {"cancelled", job.cancelled}}}};
+                          {"cancelled", cancelled}}}};
   if (!job.reason.empty()) {
     result["reason"] = job.reason;
   }
--- a/libs/daemon/src/resource_claimer.cc
+++ b/libs/daemon/src/resource_claimer.cc
@@ -8,6 +8,8 @@
 // A claim needs a view of the log that is at least this recent.
 constexpr std::chrono::seconds kFreshView{1};
 constexpr std::chrono::seconds kAppendTimeout{5};
+// A process that claims before it has heard of the others takes everything.
+constexpr std::chrono::milliseconds kFirstClaimDelay{1000};
 
 }  // namespace
 
@@ -22,7 +24,8 @@
       log(log),
       peers(peers),
       events(std::move(events)),
-      planner(this->process, balance) {}
+      planner(this->process, balance),
+      started_at(SystemClock().Now()) {}
 
 auto ResourceClaimer::SetResources(const std::vector<ResourceId>& list)
     -> void {
@@ -41,7 +44,9 @@
     this->Update(id, resource);
     this->ReleaseIfIdle(id, resource);
   }
-  if (this->releasing || now - this->log.LastGoodRead() > kFreshView) {
+  const bool is_new = now - this->started_at < kFirstClaimDelay;
+  if (this->releasing || is_new ||
+      now - this->log.LastGoodRead() > kFreshView) {
     return;
   }
   const auto processes = this->Processes();
--- a/tests/system/log_test.cc
+++ b/tests/system/log_test.cc
@@ -64,6 +64,11 @@
     std::this_thread::sleep_for(milliseconds(100));
   }
   BOOST_TEST(answered == tried);
+  // Once an outage is seen, submissions are refused at once, not left in doubt.
+  const auto refused_job = cell.Call(0, "POST", "/v1/jobs", "{}",
+                                     {{"Shallotbank-Profile", "grind"}});
+  BOOST_TEST(Reason(refused_job) == "log_unavailable");
+  BOOST_TEST(Execution(refused_job) == "not-run");
   BOOST_TEST(cell.minions.RunsOf("wr-down") == 0U);
   BOOST_TEST(cell.workers.Observe().expired_leases == 0U);
   BOOST_TEST(cell.log.Head() == head);
