--- a/apps/entry/entry_daemon.cc
+++ b/apps/entry/entry_daemon.cc
@@ -1,9 +1,8 @@
 #include "entry_daemon.h"
 
-#include <cstdio>
-
 #include "base/log.h"
 #include "base/process.h"
+#include "daemon/daemon_parts.h"
 
 namespace shallotbank::entry {
 namespace {
@@ -87,7 +86,7 @@
              }) {}
 
 auto EntryDaemon::Run() -> int {
-  if (!this->StartServers()) {
+  if (!daemon::StartServers(this->peers, this->MakeHandlers(), this->server)) {
     return kExitFailure;
   }
   this->hosts.SetListener(
@@ -101,20 +100,6 @@
   return kExitOk;
 }
 
-auto EntryDaemon::StartServers() -> bool {
-  const auto peers_started = this->peers.Start(this->MakeHandlers());
-  if (!peers_started) {
-    std::fprintf(stderr, "--rpc: the address cannot be used\n");
-    return false;
-  }
-  const auto server_started = this->server.Start();
-  if (!server_started) {
-    std::fprintf(stderr, "--http: the address cannot be used\n");
-    return false;
-  }
-  return true;
-}
-
 auto EntryDaemon::MakeHandlers() -> daemon::PeerHub::Handlers {
   return {
       .describe_self = [this] { return this->DescribeSelf(); },
@@ -123,17 +108,7 @@
                  rpc::Reply<rpc::WitnessResponse> reply) {
             reply.Send({this->groups.Witness(request.resource, request.epoch)});
           },
-      .read_records =
-          [this](const rpc::ReadRecordsRequest& request,
-                 rpc::Reply<rpc::ReadRecordsResponse> reply) {
-            rpc::ReadRecordsResponse response;
-            for (auto& record :
-                 this->log.RecentRecords(request.from, request.max)) {
-              response.records.push_back({record.offset, record.data});
-            }
-            response.next = this->log.Head() + 1;
-            reply.Send(std::move(response));
-          },
+      .read_records = daemon::ServeRecords(this->log),
       .forward =
           [this](rpc::ForwardRequest request,
                  rpc::Reply<rpc::ForwardResponse> reply) {
@@ -148,18 +123,9 @@
 }
 
 auto EntryDaemon::DescribeSelf() -> rpc::PeerState {
-  rpc::PeerState state;
-  state.process = this->process;
-  state.incarnation = this->incarnation;
-  state.host = this->settings.host;
-  state.role = rpc::Role::kEntry;
-  state.http_address =
-      this->settings.http.address + ":" + std::to_string(this->server.Port());
-  state.rpc_address = this->peers.Address();
-  state.failure_domain = this->settings.domain;
-  state.log_head = this->log.Head();
-  state.log_age = SystemClock().Now() - this->log.LastGoodRead();
-  state.owned = this->claimer.Owned();
+  auto state = daemon::DescribeDaemon(
+      {this->process, this->incarnation, rpc::Role::kEntry}, this->settings,
+      this->server, this->peers, this->log, this->claimer);
   state.draining = this->is_stopping;
   state.free_slots = this->requests.FreeSlots();
   return state;
--- a/apps/entry/entry_daemon.h
+++ b/apps/entry/entry_daemon.h
@@ -26,7 +26,6 @@
   auto Run() -> int;
 
  private:
-  auto StartServers() -> bool;
   auto MakeHandlers() -> daemon::PeerHub::Handlers;
   auto DescribeSelf() -> rpc::PeerState;
   auto HandleHttp(http::Request request, http::Responder responder) -> void;
--- a/apps/entry/main.cc
+++ b/apps/entry/main.cc
@@ -1,6 +1,5 @@
-#include <cstdio>
-
 #include "base/process.h"
+#include "daemon/daemon_parts.h"
 #include "entry_daemon.h"
 
 namespace {
@@ -13,9 +12,9 @@
 constexpr std::int64_t kHighestRequestBytes = 64 << 20;
 
 auto RunDaemon(const Settings& settings) -> int {
-  return leaf::try_handle_all(
-      [&settings]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(common, daemon::ReadCommonSettings(settings));
+  return daemon::RunWithSettings(
+      settings,
+      [&settings](daemon::CommonSettings common) -> leaf::result<int> {
         const auto& hash = settings.Text("operator-key-sha256");
         const bool is_hex =
             hash.find_first_not_of("0123456789abcdef") == std::string::npos;
@@ -27,13 +26,7 @@
         entry::EntryDaemon entry(std::move(common), hash,
                                  settings.Integer("max-request-bytes"));
         return entry.Run();
-      },
-      [](const SettingsError& error) {
-        std::fprintf(stderr, "%s: %s\n", error.setting.c_str(),
-                     error.message.c_str());
-        return static_cast<int>(kExitUsage);
-      },
-      [] { return static_cast<int>(kExitFailure); });
+      });
 }
 
 }  // namespace
--- a/apps/sched/main.cc
+++ b/apps/sched/main.cc
@@ -1,27 +1,19 @@
-#include <cstdio>
-
 #include "base/process.h"
+#include "daemon/daemon_parts.h"
 #include "sched_daemon.h"
 
 namespace {
 
-namespace leaf = boost::leaf;
 using namespace shallotbank;
 
 auto RunDaemon(const Settings& settings) -> int {
-  return leaf::try_handle_all(
-      [&settings]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(common, daemon::ReadCommonSettings(settings));
+  return daemon::RunWithSettings(
+      settings,
+      [&settings](daemon::CommonSettings common) -> boost::leaf::result<int> {
         sched::SchedDaemon sched(std::move(common),
                                  settings.Time("log-retention"));
         return sched.Run();
-      },
-      [](const SettingsError& error) {
-        std::fprintf(stderr, "%s: %s\n", error.setting.c_str(),
-                     error.message.c_str());
-        return static_cast<int>(kExitUsage);
-      },
-      [] { return static_cast<int>(kExitFailure); });
+      });
 }
 
 }  // namespace
--- a/apps/sched/sched_daemon.cc
+++ b/apps/sched/sched_daemon.cc
@@ -1,9 +1,8 @@
 #include "sched_daemon.h"
 
-#include <cstdio>
-
 #include "base/log.h"
 #include "base/process.h"
+#include "daemon/daemon_parts.h"
 #include "job_queries.h"
 
 namespace shallotbank::sched {
@@ -75,7 +74,7 @@
              }) {}
 
 auto SchedDaemon::Run() -> int {
-  if (!this->StartServers()) {
+  if (!daemon::StartServers(this->peers, this->MakeHandlers(), this->server)) {
     return kExitFailure;
   }
   this->log.SetListener([this](const journal::AppliedBatch& applied,
@@ -97,34 +96,10 @@
   return kExitOk;
 }
 
-auto SchedDaemon::StartServers() -> bool {
-  const auto peers_started = this->peers.Start(this->MakeHandlers());
-  if (!peers_started) {
-    std::fprintf(stderr, "--rpc: the address cannot be used\n");
-    return false;
-  }
-  const auto server_started = this->server.Start();
-  if (!server_started) {
-    std::fprintf(stderr, "--http: the address cannot be used\n");
-    return false;
-  }
-  return true;
-}
-
 auto SchedDaemon::MakeHandlers() -> daemon::PeerHub::Handlers {
   return {
       .describe_self = [this] { return this->DescribeSelf(); },
-      .read_records =
-          [this](const rpc::ReadRecordsRequest& request,
-                 rpc::Reply<rpc::ReadRecordsResponse> reply) {
-            rpc::ReadRecordsResponse response;
-            for (auto& record :
-                 this->log.RecentRecords(request.from, request.max)) {
-              response.records.push_back({record.offset, record.data});
-            }
-            response.next = this->log.Head() + 1;
-            reply.Send(std::move(response));
-          },
+      .read_records = daemon::ServeRecords(this->log),
       .job_status =
           [this](const rpc::JobStatusRequest& request,
                  rpc::Reply<rpc::JobStatusResponse> reply) {
@@ -144,18 +119,9 @@
 }
 
 auto SchedDaemon::DescribeSelf() -> rpc::PeerState {
-  rpc::PeerState state;
-  state.process = this->process;
-  state.incarnation = this->incarnation;
-  state.host = this->settings.host;
-  state.role = rpc::Role::kSched;
-  state.http_address =
-      this->settings.http.address + ":" + std::to_string(this->server.Port());
-  state.rpc_address = this->peers.Address();
-  state.failure_domain = this->settings.domain;
-  state.log_head = this->log.Head();
-  state.log_age = SystemClock().Now() - this->log.LastGoodRead();
-  state.owned = this->claimer.Owned();
+  auto state = daemon::DescribeDaemon(
+      {this->process, this->incarnation, rpc::Role::kSched}, this->settings,
+      this->server, this->peers, this->log, this->claimer);
   state.draining = this->is_stopping;
   return state;
 }
--- a/apps/sched/sched_daemon.h
+++ b/apps/sched/sched_daemon.h
@@ -27,7 +27,6 @@
   auto Run() -> int;
 
  private:
-  auto StartServers() -> bool;
   auto MakeHandlers() -> daemon::PeerHub::Handlers;
   auto DescribeSelf() -> rpc::PeerState;
   auto Tick() -> void;
