Keep the ages of jobs over a takeover; report the scheduler's state

Cause: a new leader took the moment at which it read a job as the moment of its acceptance.

Change: the job's record carries the time of day of its submission; a host that finds old records estimates their age by it, bounded to 0 to 10 minutes, so a clock that jumps only changes an order. Records that arrive live count from their arrival. The leader takes jobs over oldest first, which the rate of an organisation needs.

Test: cell_job_table_test, ages_outlive_a_takeover in cell_placing_test.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -169,17 +169,26 @@
 auto CellDaemon::OnJobs(const std::vector<adapter::KeyedRecord>& records)
     -> void {
   for (const auto& record : records) {
-    this->OnJobRecord(record);
+    this->HandToLeader(record.key,
+                       this->jobs.OnOldJobRecord(
+                           record.key, record.value, this->runtime.clock.Now(),
+                           std::chrono::system_clock::now()));
   }
 }
 
 auto CellDaemon::OnJobRecord(const adapter::KeyedRecord& record) -> void {
-  const auto* job = this->jobs.OnJobRecord(record.key, record.value);
+  this->HandToLeader(record.key,
+                     this->jobs.OnJobRecord(record.key, record.value,
+                                            this->runtime.clock.Now()));
+}
+
+auto CellDaemon::HandToLeader(const std::string& key, const StoredJob* job)
+    -> void {
   if (job == nullptr || this->leader == nullptr) {
     return;
   }
   constexpr std::size_t kIdDigits = 16;
-  this->leader->OnJob(JobId(record.key.substr(0, kIdDigits)), *job);
+  this->leader->OnJob(JobId(key.substr(0, kIdDigits)), *job);
 }
 
 auto CellDaemon::OnOperatorRecord(const adapter::KeyedRecord& record) -> void {
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -59,6 +59,8 @@
 
   auto OnJobs(const std::vector<adapter::KeyedRecord>& records) -> void;
   auto OnJobRecord(const adapter::KeyedRecord& record) -> void;
+  /// `job` is null if the record of the key changed nothing.
+  auto HandToLeader(const std::string& key, const StoredJob* job) -> void;
   auto OnOperatorRecord(const adapter::KeyedRecord& record) -> void;
   auto OnWorkers(const std::vector<adapter::KeyedRecord>& records) -> void;
   auto OnWorkerRecord(const adapter::KeyedRecord& record) -> void;
--- a/apps/cell/job_service.cc
+++ b/apps/cell/job_service.cc
@@ -143,6 +143,7 @@
   job.id = context.id;
   job.queue = context.queue;
   job.organisation = context.organisation;
+  job.submitted_at = std::chrono::system_clock::now();
   auto record = adapter::KeyedRecord{job.id.Text(), EncodeJob(job)};
   if (record.value->size() > this->runtime.host.max_record_bytes / 2) {
     this->Refuse(context, kBadRequest, "job-too-large", "the job is too large");
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -32,6 +32,8 @@
 constexpr std::chrono::seconds kRetentionMargin(60);
 constexpr std::chrono::seconds kDropInterval(5);
 constexpr std::size_t kMostDropped = 200;
+/// One line of the log each; enough to see a backlog grow.
+constexpr std::chrono::seconds kReportInterval(1);
 
 auto CountRefusedStart(Metrics& metrics, OrderOutcome outcome) -> void {
   switch (outcome) {
@@ -116,8 +118,8 @@
   for (const auto& worker : view.workers) {
     this->scheduler->OnWorker(worker, now);
   }
-  for (const auto& [id, job] : view.jobs.Jobs()) {
-    this->AddJob(id, job);
+  for (const auto& [id, job] : view.jobs.OldestFirst()) {
+    this->AddJob(id, *job);
   }
   LogEvent(Event::kOwnershipGained,
            {{"epoch", std::to_string(this->epoch)},
@@ -144,7 +146,7 @@
     return;
   }
   const auto now = this->runtime.clock.Now();
-  this->scheduler->OnJob(std::move(*spec), progress, now);
+  this->scheduler->OnJob(std::move(*spec), progress, job.accepted_at, now);
   if (job.is_cancel_asked) {
     this->scheduler->OnCancel(id, now);
   }
@@ -199,6 +201,33 @@
                                       may_renew));
   this->SendBatches();
   this->DropOldJobs(view, now);
+  this->ReportState(now);
+}
+
+auto Leader::ReportState(TimePoint now) -> void {
+  if (now < this->next_report) {
+    return;
+  }
+  this->next_report = now + kReportInterval;
+  const auto counts = this->scheduler->Count();
+  auto& metrics = this->runtime.metrics;
+  metrics.Set("cell_jobs", static_cast<double>(counts.jobs));
+  metrics.Set("cell_waiting_tasks", static_cast<double>(counts.waiting_tasks));
+  metrics.Set("cell_cores_capacity",
+              static_cast<double>(counts.cores_capacity));
+  metrics.Set("cell_cores_used", static_cast<double>(counts.cores_used));
+  metrics.Set("cell_advice_queries_open",
+              static_cast<double>(counts.advice_queries));
+  LogEvent(Event::kSchedulerState,
+           {{"epoch", std::to_string(this->epoch)},
+            {"jobs", std::to_string(counts.jobs)},
+            {"waiting_tasks", std::to_string(counts.waiting_tasks)},
+            {"assigned_tasks", std::to_string(counts.assigned_tasks)},
+            {"workers", std::to_string(counts.attached_workers)},
+            {"cores", std::to_string(counts.cores_capacity)},
+            {"cores_used", std::to_string(counts.cores_used)},
+            {"advice_open", std::to_string(counts.advice_queries)},
+            {"advisors", std::to_string(this->advisors.size())}});
 }
 
 auto Leader::Carry(Decisions decisions) -> void {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -62,6 +62,7 @@
   auto OnBatchReply(std::uint64_t number, const http::Reply& reply) -> void;
   auto OnBatchStored(std::uint64_t number) -> void;
   auto DropOldJobs(const View& view, TimePoint now) -> void;
+  auto ReportState(TimePoint now) -> void;
 
   Runtime& runtime;
   StoreGateway& store;
@@ -91,6 +92,7 @@
   bool is_append_open = false;
   TimePoint next_append;
   TimePoint next_drop;
+  TimePoint next_report;
 };
 
 }  // namespace shallotbank::cell
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -43,6 +43,7 @@
   kJobAccepted = 4104,
   kTaskAssigned = 4105,
   kStepWaits = 4106,
+  kSchedulerState = 4107,
   kMinionEjected = 5001,
   kMinionRestored = 5002,
   kRequestRefused = 5101,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -60,6 +60,7 @@
     EventEntry{Event::kJobAccepted, Severity::kInfo, "job-accepted"},
     EventEntry{Event::kTaskAssigned, Severity::kInfo, "task-assigned"},
     EventEntry{Event::kStepWaits, Severity::kInfo, "step-waits"},
+    EventEntry{Event::kSchedulerState, Severity::kInfo, "scheduler-state"},
     EventEntry{Event::kMinionEjected, Severity::kWarning, "minion-ejected"},
     EventEntry{Event::kMinionRestored, Severity::kInfo, "minion-restored"},
     EventEntry{Event::kRequestRefused, Severity::kInfo, "request-refused"},
--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -42,6 +42,8 @@
   std::size_t occurrence_count = 0;
   std::chrono::system_clock::time_point first_due;
   Milliseconds interval{};
+  /// By the clock of the host that took the job in; the epoch if unknown.
+  std::chrono::system_clock::time_point submitted_at;
 };
 
 enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -18,6 +20,10 @@
   QueueName queue;
   OrganisationId organisation;
   bool is_cancel_asked = false;
+  /// By the clock of the host that took the job in.
+  std::chrono::system_clock::time_point submitted_at;
+  /// When it was taken in; estimated if the record was there before us.
+  TimePoint accepted_at;
   TimePoint ended_at;  ///< When the final state was seen here.
 
   auto State() const -> JobState;
@@ -31,9 +37,19 @@
   /// Key of a request to cancel in the topic of jobs.
   static auto CancelKey(const JobId& id) -> std::string;
 
-  /// A record of the topic of jobs; empty if the key was dropped. Returns the
-  /// job if it is new or was asked to be cancelled just now.
-  auto OnJobRecord(const std::string& key, std::optional<std::string> value)
+  /// A record of the topic of jobs that was appended just now; empty if the
+  /// key was dropped. Returns the job if it is new or was asked to be cancelled
+  /// just now.
+  auto OnJobRecord(const std::string& key,
+                   std::optional<std::string> value,
+                   TimePoint now) -> const StoredJob*;
+  /// The same for a record that was appended some time ago; how long is
+  /// estimated by the time of day, `wall`, because the submitting host's clock
+  /// may have jumped since.
+  auto OnOldJobRecord(const std::string& key,
+                      std::optional<std::string> value,
+                      TimePoint now,
+                      std::chrono::system_clock::time_point wall)
       -> const StoredJob*;
   /// A record of the topic of progress.
   auto OnProgressRecord(const std::string& key,
@@ -50,6 +66,8 @@
   /// At most `most` jobs that ended before `limit`.
   auto EndedBefore(TimePoint limit, std::size_t most) const
       -> std::vector<JobId>;
+  /// All accepted jobs, the oldest first.
+  auto OldestFirst() const -> std::vector<std::pair<JobId, const StoredJob*>>;
   /// Number of records that could not be read.
   auto InvalidRecords() const -> std::size_t { return this->invalid_records; }
 
--- a/libs/cell/include/cell/scheduler.h
+++ b/libs/cell/include/cell/scheduler.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <utility>
 
 #include "base/clock.h"
 #include "cell/cell_configuration.h"
@@ -35,8 +36,16 @@
   /// The hosts that may ask for advice, each with its own queue there.
   auto SetAdvisors(std::size_t count) -> void;
 
-  /// A job that was accepted, or one found in the store after a takeover.
-  auto OnJob(JobSpec job, const JobProgress& progress, TimePoint now) -> void;
+  /// A job that was accepted, or one found in the store after a takeover; those
+  /// are to come in the order in which they were accepted.
+  auto OnJob(JobSpec job,
+             const JobProgress& progress,
+             TimePoint accepted_at,
+             TimePoint now) -> void;
+  /// A job that was accepted just now.
+  auto OnJob(JobSpec job, const JobProgress& progress, TimePoint now) -> void {
+    this->OnJob(std::move(job), progress, now, now);
+  }
   auto OnCancel(const JobId& job, TimePoint now) -> void;
 
   auto OnWorker(const WorkerReport& report, TimePoint now) -> void;
@@ -76,6 +85,9 @@
     std::size_t assigned_tasks = 0;
     std::size_t workers = 0;
     std::size_t attached_workers = 0;
+    std::int64_t cores_capacity = 0;  ///< Whole cores of attached workers.
+    std::int64_t cores_used = 0;      ///< Of them, held by assigned tasks.
+    std::size_t advice_queries = 0;   ///< Without an answer yet.
   };
   auto Count() const -> Counts;
 
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -1,11 +1,17 @@
 #include "cell/job_table.h"
 
+#include <algorithm>
+#include <tuple>
+
 #include "cell/records.h"
 
 namespace shallotbank::cell {
 namespace {
 
 constexpr std::string_view kCancelSuffix = "/cancel";
+/// An older job has passed every objective; a wrong clock must not push an age
+/// beyond what the steady clock can hold.
+constexpr std::chrono::minutes kMostJobAge(10);
 
 }  // namespace
 
@@ -31,8 +37,8 @@
 }
 
 auto JobTable::OnJobRecord(const std::string& key,
-                           std::optional<std::string> value)
-    -> const StoredJob* {
+                           std::optional<std::string> value,
+                           TimePoint now) -> const StoredJob* {
   if (key.ends_with(kCancelSuffix)) {
     const JobId id(key.substr(0, key.size() - kCancelSuffix.size()));
     if (!value) {
@@ -66,10 +72,43 @@
   job.spec_bytes = std::move(*value);
   job.queue = spec->queue;
   job.organisation = spec->organisation;
+  job.submitted_at = spec->submitted_at;
+  job.accepted_at = now;
   this->Recount(job, false);
   return &job;
 }
 
+auto JobTable::OnOldJobRecord(const std::string& key,
+                              std::optional<std::string> value,
+                              TimePoint now,
+                              std::chrono::system_clock::time_point wall)
+    -> const StoredJob* {
+  const auto* job = this->OnJobRecord(key, std::move(value), now);
+  if (job == nullptr || job->spec_bytes.empty() ||
+      job->submitted_at == std::chrono::system_clock::time_point()) {
+    return job;
+  }
+  const auto age = std::clamp<Duration>(wall - job->submitted_at,
+                                        Duration::zero(), kMostJobAge);
+  this->jobs[JobId(key)].accepted_at = now - age;
+  return job;
+}
+
+auto JobTable::OldestFirst() const
+    -> std::vector<std::pair<JobId, const StoredJob*>> {
+  std::vector<std::pair<JobId, const StoredJob*>> ordered;
+  for (const auto& [id, job] : this->jobs) {
+    if (!job.spec_bytes.empty()) {
+      ordered.emplace_back(id, &job);
+    }
+  }
+  std::sort(ordered.begin(), ordered.end(), [](const auto& a, const auto& b) {
+    return std::tie(a.second->accepted_at, a.first) <
+           std::tie(b.second->accepted_at, b.first);
+  });
+  return ordered;
+}
+
 auto JobTable::OnProgressRecord(const std::string& key,
                                 std::optional<std::string> value,
                                 TimePoint now) -> void {
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -8,6 +8,7 @@
 /// Jobs that an organisation may send at once beyond its steady rate, in
 /// seconds of that rate; a wave of one second is still ordinary traffic.
 constexpr double kShareBurstSeconds = 2;
+constexpr std::int64_t kMilli = 1000;
 
 }  // namespace
 
@@ -59,7 +60,8 @@
   if (share.refilled == TimePoint()) {
     share.jobs_left = most;
   } else {
-    const std::chrono::duration<double> passed = now - share.refilled;
+    const std::chrono::duration<double> passed =
+        std::max(Duration::zero(), now - share.refilled);
     share.jobs_left =
         std::min(most, share.jobs_left + passed.count() * found->second.weight);
   }
@@ -73,6 +75,7 @@
 
 auto Scheduler::Core::OnJob(JobSpec spec,
                             const JobProgress& progress,
+                            TimePoint accepted_at,
                             TimePoint now) -> void {
   if (IsFinal(progress.state) || this->jobs.contains(spec.id)) {
     return;
@@ -81,10 +84,10 @@
   auto& job = *owned;
   job.spec = std::move(spec);
   job.state = progress.state;
-  job.accepted_at = now;
+  job.accepted_at = accepted_at;
   job.chain = LongestChain(job.spec.steps, [](std::size_t) { return false; });
   job.next_occurrence = progress.next_occurrence;
-  job.is_beyond_share = !this->TakeShare(job.spec, now);
+  job.is_beyond_share = !this->TakeShare(job.spec, accepted_at);
   this->jobs.emplace(job.spec.id, std::move(owned));
   for (const auto& kept : progress.occurrences) {
     this->Restore(job, kept, now);
@@ -288,8 +291,13 @@
   }
   for (const auto& [id, worker] : this->workers) {
     counts.workers += worker.is_listed ? 1 : 0;
-    counts.attached_workers += worker.is_attached ? 1 : 0;
+    if (worker.is_attached) {
+      counts.attached_workers++;
+      counts.cores_capacity += worker.report.capacity.cores_milli / kMilli;
+      counts.cores_used += worker.used.cores_milli / kMilli;
+    }
   }
+  counts.advice_queries = this->queries.size();
   return counts;
 }
 
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -8,6 +8,8 @@
 using Json = nlohmann::json;
 
 constexpr char kStateBase = '0';
+/// Records of earlier releases end before this field.
+constexpr std::size_t kSubmittedAt = 8;
 
 auto ToText(const Json& value) -> std::string {
   std::string bytes;
@@ -93,10 +95,10 @@
   for (const auto& step : job.steps) {
     steps.push_back(ToJson(step));
   }
-  return ToText(
-      Json::array({job.id.Text(), job.queue.Text(), job.organisation.Text(),
-                   job.payload, steps, job.occurrence_count,
-                   UnixMilliseconds(job.first_due), job.interval.count()}));
+  return ToText(Json::array(
+      {job.id.Text(), job.queue.Text(), job.organisation.Text(), job.payload,
+       steps, job.occurrence_count, UnixMilliseconds(job.first_due),
+       job.interval.count(), UnixMilliseconds(job.submitted_at)}));
 }
 
 auto DecodeJob(std::string_view bytes) -> std::optional<JobSpec> {
@@ -114,6 +116,10 @@
     job.first_due = std::chrono::system_clock::time_point(
         Milliseconds(row.at(6).get<std::int64_t>()));
     job.interval = Milliseconds(row.at(7).get<std::int64_t>());
+    if (row.size() > kSubmittedAt) {
+      job.submitted_at = std::chrono::system_clock::time_point(
+          Milliseconds(row.at(kSubmittedAt).get<std::int64_t>()));
+    }
     return job;
   } catch (const Json::exception&) {
     return std::nullopt;  // The caller logs the record that it skips.
--- a/libs/cell/src/scheduler.cc
+++ b/libs/cell/src/scheduler.cc
@@ -18,9 +18,11 @@
   this->core->advisor_count = count;
 }
 
-auto Scheduler::OnJob(JobSpec job, const JobProgress& progress, TimePoint now)
-    -> void {
-  this->core->OnJob(std::move(job), progress, now);
+auto Scheduler::OnJob(JobSpec job,
+                      const JobProgress& progress,
+                      TimePoint accepted_at,
+                      TimePoint now) -> void {
+  this->core->OnJob(std::move(job), progress, accepted_at, now);
 }
 
 auto Scheduler::OnCancel(const JobId& job, TimePoint now) -> void {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -45,7 +45,10 @@
 
   // jobs.cc
   auto OnConfiguration(const CellConfiguration& configuration) -> void;
-  auto OnJob(JobSpec spec, const JobProgress& progress, TimePoint now) -> void;
+  auto OnJob(JobSpec spec,
+             const JobProgress& progress,
+             TimePoint accepted_at,
+             TimePoint now) -> void;
   auto OnCancel(const JobId& id, TimePoint now) -> void;
 
   // workers.cc
--- /dev/null
+++ b/libs/cell/tests/job_table_test.cc
@@ -0,0 +1,77 @@
+#include <boost/test/unit_test.hpp>
+
+#include "base/clock.h"
+#include "cell/job_table.h"
+#include "cell/records.h"
+
+namespace shallotbank::cell {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using WallTime = std::chrono::system_clock::time_point;
+
+constexpr WallTime kMorning{std::chrono::hours(24 * 365 * 50)};
+
+auto RecordOf(const std::string& id, WallTime submitted_at) -> std::string {
+  JobSpec job;
+  job.id = JobId(id);
+  job.queue = QueueName("orders");
+  job.steps.emplace_back().task_count = 1;
+  job.submitted_at = submitted_at;
+  return EncodeJob(job);
+}
+
+struct AgeCase {
+  const char* name;
+  WallTime submitted_at;
+  Duration expected_age;
+};
+
+// A host that starts learns of jobs that others have taken in before.
+BOOST_AUTO_TEST_CASE(ages_of_old_jobs_are_estimated) {
+  const AgeCase cases[] = {
+      {"seconds old", kMorning - seconds(7), seconds(7)},
+      {"a clock that is ahead", kMorning + seconds(2), Duration::zero()},
+      {"a clock that is far behind", kMorning - minutes(500), minutes(10)},
+      {"a record without the time", WallTime(), Duration::zero()},
+  };
+  for (const auto& one : cases) {
+    BOOST_TEST_CONTEXT(one.name) {
+      const ManualClock clock;
+      JobTable jobs;
+      const auto* job = jobs.OnOldJobRecord(
+          "a", RecordOf("a", one.submitted_at), clock.Now(), kMorning);
+      BOOST_REQUIRE(job != nullptr);
+      BOOST_TEST((clock.Now() - job->accepted_at == one.expected_age));
+    }
+  }
+}
+
+// The time of day says nothing of a record that was appended just now.
+BOOST_AUTO_TEST_CASE(new_records_are_accepted_now) {
+  const ManualClock clock;
+  JobTable jobs;
+  const auto* job = jobs.OnJobRecord("a", RecordOf("a", kMorning), clock.Now());
+  BOOST_REQUIRE(job != nullptr);
+  BOOST_TEST((job->accepted_at == clock.Now()));
+}
+
+BOOST_AUTO_TEST_CASE(the_oldest_come_first) {
+  ManualClock clock;
+  JobTable jobs;
+  for (const auto* id : {"c", "a", "b"}) {
+    jobs.OnJobRecord(id, RecordOf(id, kMorning), clock.Now());
+    clock.Advance(milliseconds(1));
+  }
+  jobs.OnJobRecord(JobTable::CancelKey(JobId("unknown")), "1", clock.Now());
+  std::string order;
+  for (const auto& [id, job] : jobs.OldestFirst()) {
+    order += id.Text();
+  }
+  BOOST_TEST(order == "cab");
+}
+
+}  // namespace
+}  // namespace shallotbank::cell
--- a/libs/cell/tests/placing_test.cc
+++ b/libs/cell/tests/placing_test.cc
@@ -71,6 +71,19 @@
   }
 }
 
+// A new leader ranks the jobs that it finds by when they were accepted.
+BOOST_AUTO_TEST_CASE(ages_outlive_a_takeover) {
+  TwoQueues cell;
+  cell.clock.Advance(seconds(30));
+  cell.scheduler.OnJob(cell.Urgent("old", 1000), {},
+                       cell.clock.Now() - seconds(30), cell.clock.Now());
+  cell.scheduler.OnJob(cell.Job("fresh", 1, 1000), {}, cell.clock.Now());
+  cell.AddWorker("w1", 1000);
+  const auto starts = cell.Starts();
+  BOOST_REQUIRE(starts.size() == 1);
+  BOOST_TEST(starts[0].task.Text().starts_with("fresh"));
+}
+
 // Jobs beyond an organisation's rate wait behind those of the others.
 BOOST_AUTO_TEST_CASE(a_hot_organisation_does_not_push_others_back) {
   SchedulerFixture cell;
