Compare the pace of workers; keep urgent work off slow ones

Printed run times (trial): a third of the workers take 1.3 times as long, and a quote's objective of 1.5 times its work leaves no room for that.

Test: cell_pace_test.

--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -37,6 +37,7 @@
   kWorkerUnreachable = 4001,
   kWorkerAttached = 4002,
   kWorkerQuarantined = 4003,
+  kWorkerPace = 4004,
   kTaskLost = 4101,
   kJobFinished = 4102,
   kStartRefused = 4103,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -54,6 +54,7 @@
     EventEntry{Event::kWorkerUnreachable, Severity::kWarning, "worker-unreachable"},
     EventEntry{Event::kWorkerAttached, Severity::kInfo, "worker-attached"},
     EventEntry{Event::kWorkerQuarantined, Severity::kWarning, "worker-quarantined"},
+    EventEntry{Event::kWorkerPace, Severity::kInfo, "worker-pace"},
     EventEntry{Event::kTaskLost, Severity::kWarning, "task-lost"},
     EventEntry{Event::kJobFinished, Severity::kInfo, "job-finished"},
     EventEntry{Event::kStartRefused, Severity::kWarning, "start-refused"},
--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "scheduler_core.h"
 
@@ -98,7 +99,12 @@
     -> std::vector<WorkerId> {
   const auto& step = *ranked.step;
   const auto& policy = *ranked.queue->advice;
-  std::vector<std::pair<std::size_t, WorkerId>> fresh;
+  struct Candidate {
+    bool has_right_pace = false;
+    std::size_t slots = 0;
+    WorkerId id;
+  };
+  std::vector<Candidate> fresh;
   for (const auto& [id, worker] : this->workers) {
     const bool is_candidate = !step.advice.asked.contains(id) &&
                               this->SuitsStep(step, *ranked.queue, worker, now);
@@ -106,11 +112,14 @@
     // step never changes, and room comes and goes.
     const auto slots = this->Slots(step, worker, this->RoomLeft(worker));
     if (is_candidate && (slots > 0 || step.spec->is_gang)) {
-      fresh.emplace_back(slots, id);
+      fresh.push_back({HasRightPace(*ranked.queue, worker), slots, id});
     }
   }
   std::sort(fresh.begin(), fresh.end(),
-            [](const auto& a, const auto& b) { return a.first > b.first; });
+            [](const Candidate& a, const Candidate& b) {
+              return std::tie(a.has_right_pace, a.slots) >
+                     std::tie(b.has_right_pace, b.slots);
+            });
   const auto learned = this->good_share.find(ranked.queue->name);
   const double share = std::max(
       kLeastGoodShare,
@@ -124,7 +133,7 @@
                : kMaxNamed;
   std::vector<WorkerId> named;
   double expected = 0;
-  for (const auto& [slots, id] : fresh) {
+  for (const auto& [has_right_pace, slots, id] : fresh) {
     if (expected >= wanted && named.size() >= cheap) {
       break;
     }
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -269,6 +269,7 @@
   Decisions decisions;
   this->BeginDueOccurrences(wall);
   this->ReleaseLapsed(now);
+  this->ComparePaces(now);
   this->Place(now, decisions);
   this->SendDueOrders(now, decisions);
   this->SendHolds(now, may_renew, decisions);
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -45,6 +45,7 @@
   bool is_start_open = false;
   bool is_superseded = false;  ///< The worker said so; a look must confirm it.
   int percent = -1;
+  TimePoint percent_at;  ///< When it was seen, or the confirmation.
   TimePoint percent_since;
   std::vector<WorkerId> failed_on;
 };
--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -8,6 +8,7 @@
 #include "base/clock.h"
 #include "cell/cell_configuration.h"
 #include "live_job.h"
+#include "worker_pace.h"
 
 namespace shallotbank::cell {
 
@@ -35,6 +36,7 @@
   Milliseconds lease_end{};    ///< Latest lease sent, on the worker's clock.
   TimePoint unattached_until;  ///< Until when a former leader's work may run.
 
+  WorkerPace pace;
   std::unordered_set<JobId> failed_jobs;  ///< Since the last success.
   TimePoint avoid_until;
   Duration avoid_for{};
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -31,6 +31,9 @@
 /// A step that waits longer is named in the log, and named again so often.
 constexpr std::chrono::milliseconds kNoteWaitingAfter{1000};
 constexpr std::chrono::milliseconds kNoteWaitingEvery{2000};
+/// An objective below this many times the work leaves no time for a worker that
+/// takes 1.3 times as long, beside the wait for a place.
+constexpr double kTightStretch = 2.0;
 /// A ticket must stay valid for the time of storing and starting.
 constexpr std::chrono::milliseconds kTicketMargin{150};
 
@@ -49,6 +52,11 @@
 
 }  // namespace
 
+auto HasRightPace(const QueuePolicy& queue, const LiveWorker& worker) -> bool {
+  const bool is_tight = queue.objective_stretch < kTightStretch;
+  return (worker.pace.kind == PaceClass::kUsual) == is_tight;
+}
+
 auto Scheduler::Core::Tier(const LiveJob& job,
                            const LiveOccurrence& occurrence,
                            Duration allowance,
@@ -189,7 +197,7 @@
       return WaitReason::kLimit;
     }
     LiveWorker* best = nullptr;
-    auto best_rank = std::tuple<bool, bool, std::int64_t>();
+    auto best_rank = std::tuple<bool, bool, bool, std::int64_t>();
     for (auto* worker : workers) {
       if (this->Slots(step, *worker, this->RoomLeft(*worker)) == 0) {
         continue;
@@ -200,7 +208,8 @@
       const bool is_far = !step.spec->data_rack.IsEmpty() &&
                           step.spec->data_rack != worker->report.rack;
       const auto left = worker->Room().cores_milli - demand.cores_milli;
-      const auto rank = std::tuple(has_failed, is_far, left);
+      const auto rank = std::tuple(has_failed, is_far,
+                                   !HasRightPace(*ranked.queue, *worker), left);
       if (best == nullptr || rank < best_rank) {
         best = worker;
         best_rank = rank;
@@ -244,7 +253,8 @@
         !step.spec->is_single_rack || by_rack[rack] >= step.tasks.size();
     const bool is_near =
         step.spec->data_rack.IsEmpty() || step.spec->data_rack == rack;
-    return std::tuple(!is_whole, !is_near);
+    const bool is_slow = worker->pace.kind != PaceClass::kUsual;
+    return std::tuple(!is_whole, !is_near, is_slow);
   };
   std::sort(workers.begin(), workers.end(), [&](LiveWorker* a, LiveWorker* b) {
     const auto rack_a =
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -30,6 +30,11 @@
   kPause,      ///< A worker refused a start a moment ago.
 };
 
+/// Whether a worker of that pace is a good choice for the queue. Work with a
+/// tight objective is late on a slow worker; patient work leaves the quick ones
+/// to it.
+auto HasRightPace(const QueuePolicy& queue, const LiveWorker& worker) -> bool;
+
 /// A step with waiting tasks and its place in the order.
 struct RankedStep {
   int tier = 0;
@@ -156,6 +161,12 @@
   auto NoteFailure(LiveWorker& worker, const JobId& job, TimePoint now) -> void;
   auto WatchProgress(LiveTask& task, int percent, TimePoint now) -> void;
   auto IsUsable(const LiveWorker& worker, TimePoint now) const -> bool;
+  /// Takes in that the task has done `percent` of its work by now.
+  auto MeasurePace(LiveWorker& worker,
+                   const LiveTask& task,
+                   int percent,
+                   TimePoint now) -> void;
+  auto ComparePaces(TimePoint now) -> void;
 
   // placing.cc
   auto Tier(const LiveJob& job,
@@ -225,6 +236,7 @@
   std::unordered_map<const LiveWorker*, Resources> held;
   bool is_placing_due = true;
   TimePoint placed_at;
+  TimePoint paces_compared_at;
   int last_backlog = 0;  ///< Waiting steps at the last pass.
 
   std::uint64_t next_sequence = 1;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -6,6 +6,9 @@
 namespace shallotbank::cell {
 namespace {
 
+/// Progress is given in hundredths.
+constexpr int kWhole = 100;
+constexpr std::chrono::milliseconds kComparePacesEvery{500};
 /// Longest wait that a worker takes in one look.
 constexpr Milliseconds kLongestLook{2000};
 /// A look while ends wait to be stored only renews the lease.
@@ -76,6 +79,7 @@
   worker.ends_acknowledged = 0;
   worker.lease_end = Milliseconds::zero();
   worker.next_hold = now;
+  worker.pace = WorkerPace();  // It may be another machine.
   worker.unattached_until =
       now + this->options.lease + this->options.lease / kLeaseErrorDivisor;
   // A start without an answer could take effect in the new life.
@@ -109,6 +113,7 @@
     -> bool {
   return worker.is_listed && worker.is_attached && !worker.has_strays &&
          !worker.report.is_draining && now >= worker.avoid_until &&
+         worker.pace.kind != PaceClass::kStalling &&
          now - worker.clock_at < kSilent;
 }
 
@@ -190,6 +195,9 @@
     worker.ends_seen = end.number;
     auto* task = this->FindTask(worker.report.id, end.task, end.run);
     if (task != nullptr && task->stage != RunStage::kStoring) {
+      if (end.how == EndKind::kDone) {
+        this->MeasurePace(worker, *task, kWhole, now);
+      }
       this->RunEnded(*task, end.how, end.checkpoint, worker, now);
     }
   }
@@ -235,8 +243,55 @@
   }
 }
 
+auto Scheduler::Core::MeasurePace(LiveWorker& worker,
+                                  const LiveTask& task,
+                                  int percent,
+                                  TimePoint now) -> void {
+  const auto& spec = *task.step->spec;
+  // A gang runs at the pace of its slowest member.
+  if (task.stage != RunStage::kRunning || spec.is_gang ||
+      spec.is_long_running || spec.is_best_effort) {
+    return;
+  }
+  const bool is_first = task.percent < 0;
+  if (is_first && !task.kept.checkpoint.empty()) {
+    return;  // It resumed from an unknown point.
+  }
+  const auto since = is_first ? task.confirmed_at : task.percent_at;
+  const int gained = percent - std::max(0, task.percent);
+  worker.pace.Add(Duration(spec.estimate) * gained / kWhole, now - since, now);
+}
+
+auto Scheduler::Core::ComparePaces(TimePoint now) -> void {
+  if (now - this->paces_compared_at < kComparePacesEvery) {
+    return;
+  }
+  this->paces_compared_at = now;
+  std::map<ServiceName, std::vector<WorkerPace*>> paces;
+  std::map<WorkerId, PaceClass> before;
+  for (auto& [id, worker] : this->workers) {
+    paces[worker.report.service].push_back(&worker.pace);
+    before[id] = worker.pace.kind;
+  }
+  for (const auto& [service, list] : paces) {
+    ClassifyPaces(list, now);
+  }
+  static constexpr const char* kNames[] = {"usual", "slow", "stalling"};
+  for (const auto& [id, worker] : this->workers) {
+    if (worker.pace.kind != before[id]) {
+      this->AddNote(Event::kWorkerPace,
+                    {{"worker", id.Text()},
+                     {"pace", kNames[static_cast<int>(worker.pace.kind)]},
+                     {"recent", std::to_string(worker.pace.recent.Pace())},
+                     {"lasting", std::to_string(worker.pace.lasting.Pace())}});
+    }
+  }
+}
+
 auto Scheduler::Core::WatchProgress(LiveTask& task, int percent, TimePoint now)
     -> void {
+  this->MeasurePace(this->GetWorker(task.kept.worker.id), task, percent, now);
+  task.percent_at = now;
   if (percent != task.percent) {
     task.percent = percent;
     task.percent_since = now;
