Ask a dead advisor less; let questions time out by what they cost

The time-out was a flat 0.9 s: below the cost of a question that names 100 workers (920 ms there), so at the grown sizes none of these would ever have been answered in time.

Change: after two failures a peer is called again only once it has announced itself, or after 5 s; a question times out 0.4 s after the service's own figures say that it is answered; without an answer another advisor is asked at once. The directory of peers moves to libs/cell, where it has a test. That found that an announcement with a field of another type ended the process: mended.

Test: cell_peer_directory_test.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -151,21 +151,25 @@
            [this](Offset end) {
              this->election.OnReadToEnd(end, this->runtime.clock.Now());
            }}),
-      hosts_topic(
-          this->runtime,
-          this->store,
-          kHostsTopic,
-          kHostsPause,
-          {[this](const auto& records) {
-             this->peers.OnAnnouncements(records, this->runtime.clock.Now());
-           },
-           [this](const auto& record) {
-             this->peers.OnAnnouncements({record}, this->runtime.clock.Now());
-           },
-           [](Offset) {}}) {}
+      hosts_topic(this->runtime,
+                  this->store,
+                  kHostsTopic,
+                  kHostsPause,
+                  {[this](const auto& records) {
+                     for (const auto& record : records) {
+                       this->OnHostRecord(record);
+                     }
+                   },
+                   [this](const auto& record) { this->OnHostRecord(record); },
+                   [](Offset) {}}) {}
 
 CellDaemon::~CellDaemon() = default;
 
+auto CellDaemon::OnHostRecord(const adapter::KeyedRecord& record) -> void {
+  this->peers.OnAnnouncement(record.key, record.value.value_or(""),
+                             this->runtime.clock.Now());
+}
+
 auto CellDaemon::OnJobs(const std::vector<adapter::KeyedRecord>& records)
     -> void {
   for (const auto& record : records) {
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -15,11 +15,11 @@
 #include "base/metrics.h"
 #include "cell/election.h"
 #include "cell/job_table.h"
+#include "cell/peer_directory.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "job_service.h"
 #include "leader.h"
-#include "peer_directory.h"
 #include "record_writer.h"
 #include "runtime.h"
 #include "store_gateway.h"
@@ -58,6 +58,7 @@
   auto SendLeaderRecord(const LeaderAppend& append) -> void;
 
   auto OnJobs(const std::vector<adapter::KeyedRecord>& records) -> void;
+  auto OnHostRecord(const adapter::KeyedRecord& record) -> void;
   auto OnJobRecord(const adapter::KeyedRecord& record) -> void;
   /// `job` is null if the record of the key changed nothing.
   auto HandToLeader(const std::string& key, const StoredJob* job) -> void;
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "adapter/store_calls.h"
 #include "adapter/worker_calls.h"
 #include "base/log.h"
 #include "cell/records.h"
@@ -15,8 +16,9 @@
 constexpr std::chrono::milliseconds kOrderTimeout(400);
 /// Beyond the time that a look waits on the worker.
 constexpr std::chrono::milliseconds kHoldMargin(500);
-/// Beyond the known cost of a question.
-constexpr std::chrono::milliseconds kAdviceMargin(900);
+/// Beyond the time that a question should take: its way there and back, and one
+/// lost packet.
+constexpr std::chrono::milliseconds kAdviceMargin(400);
 /// One for the look that waits, the others for orders. Workers take 64 in all,
 /// which leaves room for those of former leaders that nobody has closed.
 constexpr long kConnectionsPerWorker = 4;
@@ -313,8 +315,9 @@
 
 auto Leader::SendAdvice(AdviceQuery query) -> void {
   this->runtime.metrics.Add("advice_queries_total");
-  auto call =
-      adapter::AdviceCall(this->runtime.host.advice, query, kAdviceMargin);
+  auto call = adapter::AdviceCall(this->runtime.host.advice, query,
+                                  std::chrono::ceil<std::chrono::milliseconds>(
+                                      query.expected + kAdviceMargin));
   const auto advisor = query.advisor < this->advisors.size()
                            ? this->advisors[query.advisor]
                            : std::string();
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -9,8 +9,8 @@
 
 #include "adapter/operator_documents.h"
 #include "cell/job_table.h"
+#include "cell/peer_directory.h"
 #include "cell/scheduler.h"
-#include "peer_directory.h"
 #include "runtime.h"
 #include "store_gateway.h"
 
--- a/apps/cell/store_gateway.h
+++ b/apps/cell/store_gateway.h
@@ -5,9 +5,9 @@
 #include <memory>
 #include <string>
 
+#include "cell/peer_directory.h"
 #include "http/message.h"
 #include "http/responder.h"
-#include "peer_directory.h"
 #include "runtime.h"
 
 namespace shallotbank::cell {
--- a/libs/cell/include/cell/orders.h
+++ b/libs/cell/include/cell/orders.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "base/log.h"
 #include "cell/job.h"
@@ -96,6 +97,9 @@
   std::size_t advisor = 0;  ///< The host that is to ask, as an index.
   std::string step;
   std::vector<WorkerId> workers;
+  /// When the service answers by its own figures: the questions of the same
+  /// host before this one, and its cost.
+  Duration expected{};
 };
 
 struct AdviceReply {
--- a/apps/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "adapter/store_calls.h"
 #include "base/clock.h"
 
 namespace shallotbank::cell {
@@ -34,9 +33,10 @@
                 std::string own_endpoint,
                 const std::vector<std::string>& seeds);
 
-  /// The announcements in the store.
-  auto OnAnnouncements(const std::vector<adapter::KeyedRecord>& records,
-                       TimePoint now) -> void;
+  /// What the store holds as the announcement of `host`.
+  auto OnAnnouncement(const std::string& host,
+                      const std::string& bytes,
+                      TimePoint now) -> void;
   /// A call to the peer failed or succeeded.
   auto OnFailure(const std::string& endpoint, TimePoint now) -> void;
   auto OnSuccess(const std::string& endpoint) -> void;
@@ -55,9 +55,13 @@
   auto Reachable(TimePoint now) const -> std::vector<std::string>;
 
  private:
+  struct Peer;
+  auto IsTrusted(const Peer& peer, TimePoint now) const -> bool;
+
   struct Peer {
     std::string value;
     TimePoint changed_at;
+    TimePoint failed_at;
     TimePoint failed_until;
     int failures = 0;
     bool is_seed = false;
--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -24,7 +24,7 @@
 constexpr std::chrono::milliseconds kMaxBacklog{60};
 /// Questions above this cost leave some advisors free for quick ones.
 constexpr std::chrono::milliseconds kLongQuestion{100};
-/// Pause after an advisor was busy or did not answer.
+/// Pause after an advisor was busy.
 constexpr std::chrono::milliseconds kRetryPause{200};
 /// Tickets are not used in their last moments; see also the placing margin.
 constexpr std::chrono::milliseconds kTicketSafety{200};
@@ -36,13 +36,19 @@
 
 }  // namespace
 
+auto Scheduler::Core::AdvisorBacklog(std::size_t advisor) const -> Duration {
+  Duration backlog{};
+  for (const auto& [number, query] : this->queries) {
+    backlog += query.advisor == advisor ? query.cost : Duration::zero();
+  }
+  return backlog;
+}
+
 auto Scheduler::Core::ChooseAdvisor(Duration cost) const
     -> std::optional<std::size_t> {
   std::vector<Duration> backlog(this->advisor_count);
-  for (const auto& [number, query] : this->queries) {
-    if (query.advisor < backlog.size()) {
-      backlog[query.advisor] += query.cost;
-    }
+  for (std::size_t i = 0; i < backlog.size(); i++) {
+    backlog[i] = this->AdvisorBacklog(i);
   }
   const auto quick_only =
       cost > kLongQuestion ? this->advisor_count / 3 : std::size_t{0};
@@ -164,6 +170,7 @@
   }
   query.number = this->next_query++;
   query.advisor = *advisor;
+  query.expected = this->AdvisorBacklog(*advisor) + cost;
   query.step = step.name;
   step.advice.is_open = true;
   step.advice.asked_at = now;
@@ -195,8 +202,10 @@
   step.advice.asked_for += now - step.advice.asked_at;
   this->is_placing_due = true;
   if (reply.outcome != AdviceReply::Outcome::kAnswered) {
-    step.advice.retry_at = now + kRetryPause;
-    return;
+    if (reply.outcome == AdviceReply::Outcome::kBusy) {
+      step.advice.retry_at = now + kRetryPause;
+    }
+    return;  // Without an answer another advisor is asked at once.
   }
   const auto* queue = this->QueueOf(*job->second);
   auto lifetime = reply.ticket_lifetime.value_or(Milliseconds::zero());
--- a/apps/cell/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -1,4 +1,4 @@
-#include "peer_directory.h"
+#include "cell/peer_directory.h"
 
 #include <algorithm>
 
@@ -14,6 +14,9 @@
 constexpr int kMaxFailuresCounted = 6;
 /// Failed calls in a row after which a peer counts as out of reach.
 constexpr int kFailuresToDoubt = 2;
+/// Without a sign of life a peer is tried again after this time: announcements
+/// do not get through either while the store is away.
+constexpr std::chrono::seconds kTryAnyway(5);
 /// With fewer peers their failures are as likely their own.
 constexpr std::size_t kFewestPeers = 2;
 
@@ -31,24 +34,21 @@
 
 auto DecodeAnnouncement(const std::string& bytes)
     -> std::optional<Announcement> {
-  const auto json =
-      nlohmann::json::parse(bytes, nullptr, /*allow_exceptions=*/false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  Announcement announcement;
-  announcement.endpoint = json.value("endpoint", "");
-  announcement.process = json.value("process", "");
-  announcement.sign = json.value("sign", "");
-  const auto latency = json.find("store_latency_us");
-  if (latency != json.end() && latency->is_number_integer()) {
-    announcement.store_latency =
-        std::chrono::microseconds(latency->get<std::int64_t>());
-  }
-  if (announcement.endpoint.empty()) {
-    return std::nullopt;
+  try {
+    const auto json = nlohmann::json::parse(bytes);
+    Announcement announcement;
+    announcement.endpoint = json.at("endpoint").get<std::string>();
+    announcement.process = json.value("process", "");
+    announcement.sign = json.value("sign", "");
+    const auto latency = json.find("store_latency_us");
+    if (latency != json.end()) {
+      announcement.store_latency =
+          std::chrono::microseconds(latency->get<std::int64_t>());
+    }
+    return announcement;
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;  // A host that has left, or a record of others.
   }
-  return announcement;
 }
 
 PeerDirectory::PeerDirectory(std::string own_host,
@@ -62,23 +62,18 @@
   }
 }
 
-auto PeerDirectory::OnAnnouncements(
-    const std::vector<adapter::KeyedRecord>& records,
-    TimePoint now) -> void {
-  for (const auto& record : records) {
-    const auto value = record.value.value_or("");
-    const auto announcement = DecodeAnnouncement(value);
-    if (!announcement) {
-      continue;
-    }
-    this->processes[record.key] = announcement->process;
-    if (record.key == this->own_host ||
-        announcement->endpoint == this->own_endpoint) {
-      continue;
-    }
+auto PeerDirectory::OnAnnouncement(const std::string& host,
+                                   const std::string& bytes,
+                                   TimePoint now) -> void {
+  const auto announcement = DecodeAnnouncement(bytes);
+  if (!announcement) {
+    return;  // The host has left, or the record is not one of ours.
+  }
+  this->processes[host] = announcement->process;
+  if (host != this->own_host && announcement->endpoint != this->own_endpoint) {
     auto& peer = this->peers[announcement->endpoint];
-    if (peer.value != value) {
-      peer.value = value;
+    if (peer.value != bytes) {
+      peer.value = bytes;
       peer.changed_at = now;
       peer.store_latency = announcement->store_latency;
     }
@@ -95,6 +90,7 @@
   if (found != this->peers.end()) {
     auto& peer = found->second;
     peer.failures = std::min(peer.failures + 1, kMaxFailuresCounted);
+    peer.failed_at = now;
     peer.failed_until = now + kFailurePause * peer.failures;
   }
 }
@@ -139,12 +135,22 @@
   return alive >= kFewestPeers && failing * 2 > alive;
 }
 
+auto PeerDirectory::IsTrusted(const Peer& peer, TimePoint now) const -> bool {
+  const bool is_recent =
+      peer.changed_at != TimePoint() && now - peer.changed_at < kSilentAfter;
+  if (now < peer.failed_until || (!is_recent && !peer.is_seed)) {
+    return false;
+  }
+  // Each try of a host that is down costs some call its time, so only a sign
+  // of life is followed by another.
+  return peer.failures < kFailuresToDoubt || peer.changed_at > peer.failed_at ||
+         now - peer.failed_at > kTryAnyway;
+}
+
 auto PeerDirectory::Reachable(TimePoint now) const -> std::vector<std::string> {
   std::vector<std::string> reachable;
   for (const auto& [endpoint, peer] : this->peers) {
-    const bool is_recent =
-        peer.changed_at != TimePoint() && now - peer.changed_at < kSilentAfter;
-    if (now >= peer.failed_until && (is_recent || peer.is_seed)) {
+    if (this->IsTrusted(peer, now)) {
       reachable.push_back(endpoint);
     }
   }
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -218,6 +218,8 @@
   auto UnaskedWorkers(const RankedStep& ranked, TimePoint now)
       -> std::vector<WorkerId>;
   auto ChooseAdvisor(Duration cost) const -> std::optional<std::size_t>;
+  /// Cost of the questions that the advisor has not answered.
+  auto AdvisorBacklog(std::size_t advisor) const -> Duration;
 
   // batches.cc
   auto BuildBatch() -> std::optional<ProgressBatch>;
