Let a new leader wait for the jobs whose progress it knows

A new leader waited until it had read all progress, but not the jobs: it followed these with a pause of 150 ms, and behind a slow store by seconds. Progress of a job that it did not know was ignored, so its runs were stopped as strays and their ends acknowledged; when the job came, its tasks counted as lost and started again, also those that had ended as done.

Ruled out by reading or trial: a repeated takeover append (a trial: the store answers 200 and the end each time); late progress of the former leader (its epoch is lower); a frozen leader that wakes (its orders are fenced once a worker has answered the new one).

Change: the leader begins only when no progress belongs to an unknown job, or once the topic of jobs was read to its end after the takeover.

Test: progress_ahead_of_its_job in cell_job_table_test.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -109,7 +109,8 @@
                  {[this](const auto& records) { this->OnJobs(records); },
                   [this](const auto& record) { this->OnJobRecord(record); },
                   [this](Offset) {
-                    this->service.SetFreshness(this->runtime.clock.Now());
+                    this->jobs_read_to_end = this->runtime.clock.Now();
+                    this->service.SetFreshness(this->jobs_read_to_end);
                   }}),
       progress_topic(this->runtime,
                      this->store,
@@ -378,7 +379,8 @@
     this->leading_since = now;
   }
   this->worker_list = this->WorkerList();
-  this->leader->Tick({this->jobs, this->configuration, this->worker_list},
+  this->leader->Tick({this->jobs, this->configuration, this->worker_list,
+                      this->jobs_read_to_end},
                      this->progress_topic.Position(),
                      this->election.HasLeaseAuthority(now));
 }
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -97,6 +97,7 @@
   std::optional<std::chrono::microseconds> store_latency;
   boost::circular_buffer<std::chrono::microseconds> latencies{kLatenciesKept};
   TimePoint leading_since;
+  TimePoint jobs_read_to_end;  ///< When the topic of jobs last was.
   bool is_stopping = false;
   std::atomic<bool> is_healthy{false};
   std::atomic<int> failed_checks{0};
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -102,6 +102,7 @@
         if (result.outcome == Outcome::kStored ||
             result.outcome == Outcome::kSequence) {
           this->first_own_offset = result.end;
+          this->taken_over_at = this->runtime.clock.Now();
         } else if (result.outcome == Outcome::kFenced) {
           this->is_fenced = true;
         }
@@ -194,6 +195,12 @@
     if (progress_position < *this->first_own_offset) {
       return;
     }
+    // The runs of a job that is not known yet would be stopped, and their ends
+    // ignored.
+    if (view.jobs.HasProgressOfUnknownJobs() &&
+        view.jobs_read_to_end <= this->taken_over_at) {
+      return;
+    }
     this->Begin(view);
   }
   this->advisors = this->peers.Reachable(now);
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -24,6 +24,8 @@
     const JobTable& jobs;
     const adapter::OperatorConfiguration& configuration;
     const std::vector<WorkerReport>& workers;
+    /// When a read of the topic of jobs last reached its end.
+    TimePoint jobs_read_to_end;
   };
 
   Leader(Runtime& runtime,
@@ -75,6 +77,7 @@
   /// take few, and each leader would leave some behind.
   http::Client workers_client;
   std::optional<Offset> first_own_offset;
+  TimePoint taken_over_at;  ///< When the former leader was shut out.
   std::unique_ptr<Scheduler> scheduler;
   std::vector<std::string> advisors;  ///< Empty text: this host itself.
   /// A batch on its way to the store.
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -58,6 +59,11 @@
 
   /// The job, if it was accepted.
   auto Find(const JobId& id) const -> const StoredJob*;
+  /// Whether there is progress of a job that has not ended and whose own record
+  /// was not read yet: the topic of jobs is behind that of progress.
+  auto HasProgressOfUnknownJobs() const -> bool {
+    return !this->unknown_jobs.empty();
+  }
   /// Accepted jobs of the queue of which no task has started.
   auto CountWaiting(const QueueName& queue) const -> std::size_t;
   auto Jobs() const -> const std::unordered_map<JobId, StoredJob>& {
@@ -77,6 +83,7 @@
 
   std::unordered_map<JobId, StoredJob> jobs;
   std::unordered_map<QueueName, std::size_t> waiting;
+  std::unordered_set<JobId> unknown_jobs;  ///< With progress, not ended.
   std::size_t invalid_records = 0;
 };
 
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -74,6 +74,7 @@
   job.organisation = spec->organisation;
   job.submitted_at = spec->submitted_at;
   job.accepted_at = now;
+  this->unknown_jobs.erase(id);
   this->Recount(job, false);
   return &job;
 }
@@ -114,6 +115,7 @@
                                 TimePoint now) -> void {
   const JobId id(key);
   if (!value) {
+    this->unknown_jobs.erase(id);
     const auto found = this->jobs.find(id);
     if (found != this->jobs.end() && found->second.spec_bytes.empty()) {
       this->jobs.erase(found);
@@ -128,6 +130,11 @@
   auto& job = this->jobs[id];
   const bool was_waiting = this->IsWaiting(job);
   job.progress_bytes = std::move(*value);
+  if (job.spec_bytes.empty() && !IsFinal(*state)) {
+    this->unknown_jobs.insert(id);
+  } else {
+    this->unknown_jobs.erase(id);
+  }
   if (IsFinal(*state) && job.ended_at == TimePoint()) {
     job.ended_at = now;
   }
--- a/libs/cell/tests/job_table_test.cc
+++ b/libs/cell/tests/job_table_test.cc
@@ -58,6 +58,40 @@
   BOOST_TEST((job->accepted_at == clock.Now()));
 }
 
+struct UnknownCase {
+  const char* name;
+  bool has_job;
+  std::optional<JobState> state;  ///< Empty: the key was dropped.
+  bool is_unknown;
+};
+
+// A new leader must not begin while it knows progress of a job but not the job.
+BOOST_AUTO_TEST_CASE(progress_ahead_of_its_job) {
+  const UnknownCase cases[] = {
+      {"job and progress", true, JobState::kRunning, false},
+      {"progress only", false, JobState::kRunning, true},
+      {"progress of an ended job", false, JobState::kCompleted, false},
+      {"dropped progress", false, std::nullopt, false},
+  };
+  for (const auto& one : cases) {
+    BOOST_TEST_CONTEXT(one.name) {
+      const ManualClock clock;
+      JobTable jobs;
+      jobs.OnProgressRecord("a", EncodeProgress({JobState::kRunning, {}, 0}),
+                            clock.Now());
+      if (one.has_job) {
+        jobs.OnJobRecord("a", RecordOf("a", kMorning), clock.Now());
+      }
+      std::optional<std::string> progress;
+      if (one.state) {
+        progress = EncodeProgress({*one.state, {}, 0});
+      }
+      jobs.OnProgressRecord("a", progress, clock.Now());
+      BOOST_TEST(jobs.HasProgressOfUnknownJobs() == one.is_unknown);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_oldest_come_first) {
   ManualClock clock;
   JobTable jobs;
