Read the lists of workers and jobs less often on hosts that do not lead

Six hosts each read the list of workers 16 times a second, since 48 workers write their entries every 1.5 s; only the leader needs it.

Change: 200 ms between reads of that list on the leader (50 ms before), 1 s on the others, which read on at once when they take over; 400 ms (150) between reads of jobs on the others.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -20,10 +20,15 @@
 constexpr std::chrono::milliseconds kTickInterval(4);
 /// Pause between two reads of a topic whose records need not be known at once.
 constexpr std::chrono::milliseconds kProgressPause(60);
-constexpr std::chrono::milliseconds kWorkersPause(50);
-constexpr std::chrono::milliseconds kHostsPause(150);
-/// A host that does not lead needs new jobs only to answer queries.
-constexpr std::chrono::milliseconds kFollowerJobsPause(150);
+constexpr std::chrono::milliseconds kHostsPause(300);
+/// Each worker writes its entry every 1.5 s; a new or leaving one has to be
+/// known within 2 s.
+constexpr std::chrono::milliseconds kWorkersPause(200);
+/// A host that does not lead needs the workers only when it takes over, and
+/// reads on at once then.
+constexpr std::chrono::milliseconds kFollowerWorkersPause(1000);
+/// It needs new jobs only to answer queries, within 3 s of their acceptance.
+constexpr std::chrono::milliseconds kFollowerJobsPause(400);
 /// Claims of hosts that are equally near to the store are spread over this.
 constexpr std::chrono::milliseconds kClaimSpread(30);
 /// A host waits this many times its way to the store before it claims, so that
@@ -421,6 +426,8 @@
   const auto now = this->runtime.clock.Now();
   this->jobs_topic.SetPause(this->leader ? Duration::zero()
                                          : Duration(kFollowerJobsPause));
+  this->workers_topic.SetPause(this->leader ? kWorkersPause
+                                            : kFollowerWorkersPause);
   this->configuration_topic.Tick(now);
   this->workers_topic.Tick(now);
   this->jobs_topic.Tick(now);
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -38,6 +38,13 @@
   }
 }
 
+auto TopicFollower::SetPause(Duration time) -> void {
+  if (time < this->pause && this->failures == 0) {
+    this->next_read = std::min(this->next_read, this->last_read + time);
+  }
+  this->pause = time;
+}
+
 auto TopicFollower::Retry() -> void {
   this->failures++;
   this->next_read = this->runtime.clock.Now() +
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -32,7 +32,8 @@
   auto Start() -> void { this->ReadSnapshotPage(""); }
   /// Called every few milliseconds.
   auto Tick(TimePoint now) -> void;
-  auto SetPause(Duration time) -> void { this->pause = time; }
+  /// A shorter pause also ends the one that is under way.
+  auto SetPause(Duration time) -> void;
 
   auto IsCaughtUp() const -> bool { return this->is_caught_up; }
   /// All records before this offset have been handled.
