Let the leader store new jobs for all hosts

Change: hosts hand records to the leader, which groups them into one append; the leader knows what it has stored without reading it. A host whose leader is gone, has not renewed for 1.2 s or does not answer appends itself.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -27,6 +27,12 @@
 /// A host that does not lead needs the workers only when it takes over, and
 /// reads on at once then.
 constexpr std::chrono::milliseconds kFollowerWorkersPause(1000);
+/// The leader stores new jobs itself, for all hosts; it reads those that others
+/// have stored because they could not reach it.
+constexpr std::chrono::milliseconds kLeaderJobsPause(100);
+/// Records are handed to a leader that has renewed its claim so lately. Above
+/// the renewals of a leader behind a slow store.
+constexpr std::chrono::milliseconds kLeaderDoubt(1200);
 /// It needs new jobs only to answer queries, within 3 s of their acceptance.
 constexpr std::chrono::milliseconds kFollowerJobsPause(400);
 /// Claims of hosts that are equally near to the store are spread over this.
@@ -78,7 +84,10 @@
             this->settings.peers.Text(),
             this->settings.seeds),
       store(this->runtime, this->peers),
-      writer(this->runtime, this->store, kJobsTopic),
+      writer(this->runtime,
+             this->store,
+             kJobsTopic,
+             [this](const auto& record) { this->OnJobRecord(record); }),
       service(this->runtime,
               this->store,
               this->writer,
@@ -390,6 +399,15 @@
                      this->election.HasLeaseAuthority(now));
 }
 
+auto CellDaemon::LeaderEndpoint(TimePoint now) const -> std::string {
+  if (this->election.IsLeader() ||
+      now - this->election.LastSign() > kLeaderDoubt) {
+    return "";
+  }
+  return this->peers.EndpointOf(this->election.LeaderHost(),
+                                this->election.LeaderProcess(), now);
+}
+
 auto CellDaemon::TickPeers(TimePoint now) -> void {
   if (now < this->next_announce) {
     return;
@@ -424,8 +442,8 @@
 
 auto CellDaemon::Tick() -> void {
   const auto now = this->runtime.clock.Now();
-  this->jobs_topic.SetPause(this->leader ? Duration::zero()
-                                         : Duration(kFollowerJobsPause));
+  this->jobs_topic.SetPause(this->leader ? kLeaderJobsPause
+                                         : kFollowerJobsPause);
   this->workers_topic.SetPause(this->leader ? kWorkersPause
                                             : kFollowerWorkersPause);
   this->configuration_topic.Tick(now);
@@ -434,6 +452,7 @@
   this->progress_topic.Tick(now);
   this->leader_topic.Tick(now);
   this->hosts_topic.Tick(now);
+  this->writer.SetLeader(this->LeaderEndpoint(now));
   this->writer.Tick(now);
   this->store.Tick(now);
   this->TickElection(now);
@@ -494,6 +513,8 @@
       options, [this](const http::Request& request, http::Responder responder) {
         if (request.path == kRelayPath) {
           this->store.Relay(request, std::move(responder));
+        } else if (request.path == kRecordsPath) {
+          this->TakeRecords(request, std::move(responder));
         } else if (request.path == "/metrics") {
           responder.Send(
               {kOk, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
@@ -505,6 +526,18 @@
   return {};
 }
 
+auto CellDaemon::TakeRecords(const http::Request& request,
+                             http::Responder responder) -> void {
+  auto shared = std::make_shared<http::Responder>(std::move(responder));
+  auto kept = std::make_shared<http::Request>(request);
+  const bool is_taken = this->loop.Post(
+      [this, shared, kept] { this->writer.WriteForPeer(*kept, shared); });
+  if (!is_taken) {
+    this->metrics.Add("refusals_total", "core-queue-full");
+    shared->Send({kUnavailable, {}, ""});
+  }
+}
+
 auto CellDaemon::RunCore() -> void {
   this->configuration_topic.Start();
   this->workers_topic.Start();
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -53,6 +53,11 @@
   auto YieldLead(const std::string& reason, TimePoint now) -> void;
   auto IsFarFromStore(TimePoint now) const -> bool;
   auto BeginStop() -> void;
+  /// Records that a peer hands over to be stored.
+  auto TakeRecords(const http::Request& request, http::Responder responder)
+      -> void;
+  /// The leader's endpoint, if records are to be handed to it.
+  auto LeaderEndpoint(TimePoint now) const -> std::string;
   /// Goes on accepting connections until the balancer sends no more.
   auto WaitForBalancer(TimePoint stopped_at) -> void;
   auto SendLeaderRecord(const LeaderAppend& append) -> void;
--- a/apps/cell/record_writer.h
+++ b/apps/cell/record_writer.h
@@ -8,22 +8,39 @@
 
 #include "adapter/store_calls.h"
 #include "base/verdict.h"
+#include "http/responder.h"
 #include "store_gateway.h"
 
 namespace shallotbank::cell {
 
-/// Appends records whose order among each other does not matter, grouped into
-/// few calls. A record may be appended more than once.
+/// Stores records whose order among each other does not matter, grouped into
+/// few calls. A record may be stored more than once.
+///
+/// A partition of the store takes one append at a time, so all hosts hand their
+/// records to the leader, which groups them; behind a slow store six writers
+/// would queue up beyond what it takes. A host whose leader is gone or does not
+/// answer appends itself.
 class RecordWriter {
  public:
   /// kRan once stored, kNotRun if it never will be, else kMayHaveRun.
   using Done = std::function<void(Verdict)>;
+  /// Called with each record that is known to be stored.
+  using OnStored = std::function<void(const adapter::KeyedRecord&)>;
 
-  RecordWriter(Runtime& runtime, StoreGateway& store, std::string topic);
+  RecordWriter(Runtime& runtime,
+               StoreGateway& store,
+               std::string topic,
+               OnStored on_stored);
 
   /// Stores the record or gives up at `deadline`.
   auto Write(adapter::KeyedRecord record, TimePoint deadline, Done done)
       -> void;
+  /// Stores the records of a peer and answers it.
+  auto WriteForPeer(const http::Request& request,
+                    std::shared_ptr<http::Responder> responder) -> void;
+  /// The leader's endpoint for peers; empty if this host leads or the leader is
+  /// not believed to answer.
+  auto SetLeader(std::string endpoint) -> void;
   /// Called every few milliseconds.
   auto Tick(TimePoint now) -> void;
 
@@ -33,18 +50,31 @@
     TimePoint deadline;
     Done done;
     bool is_in_flight = false;
-    /// An append without an answer held it, so it may be stored, also later.
+    /// It is not handed on: it came from a peer, or the leader failed with it.
+    bool is_direct = false;
+    /// A call without an answer held it, so it may be stored, also later.
     bool is_uncertain = false;
   };
+  using Batch = std::vector<std::shared_ptr<Entry>>;
 
-  auto OnResult(const std::vector<std::shared_ptr<Entry>>& batch,
-                const adapter::AppendResult& result) -> void;
+  auto GiveUpOverdue(TimePoint now) -> void;
+  /// Entries that wait for their next call, up to the size of a batch.
+  auto Collect(bool with_handed_on) -> Batch;
+  auto SendToLeader(const Batch& batch) -> void;
+  auto Append(const Batch& batch, TimePoint now) -> void;
+  auto OnAppended(const Batch& batch, const adapter::AppendResult& result)
+      -> void;
+  /// One call with the entries has ended; those that are settled leave.
+  auto Settle(const Batch& batch, Verdict verdict, bool is_final) -> void;
 
   Runtime& runtime;
   StoreGateway& store;
   const std::string topic;
+  const OnStored on_stored;
+  std::string leader;
   std::deque<std::shared_ptr<Entry>> entries;
-  bool is_open = false;
+  int open_appends = 0;
+  int open_groups = 0;  ///< On their way to the leader.
   TimePoint next_try;
 };
 
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -198,6 +198,10 @@
   }
 }
 
+auto StoreGateway::NotePeerFailure(const std::string& endpoint) -> void {
+  this->peers.OnFailure(endpoint, this->runtime.clock.Now());
+}
+
 auto StoreGateway::SendThrough(const std::string& endpoint,
                                http::Call call,
                                Done done) -> void {
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -25,6 +25,7 @@
   kLogRecordInvalid = 2004,
   kSnapshotWritten = 2005,
   kProgressSequence = 2006,
+  kRecordsReturned = 2007,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
--- a/libs/cell/include/cell/election.h
+++ b/libs/cell/include/cell/election.h
@@ -86,6 +86,8 @@
   auto LeaderProcess() const -> const std::string& {
     return this->leader_process;
   }
+  /// When the leader last renewed its claim, as far as this host has read.
+  auto LastSign() const -> TimePoint { return this->last_sign; }
   /// Whether leases of workers may still be renewed.
   auto HasLeaseAuthority(TimePoint now) const -> bool;
   /// Until when the leader before this host's claim may still renew leases.
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -44,6 +44,12 @@
   /// The process that the host announced last; empty if none was seen.
   auto ProcessOf(const std::string& host) const -> std::string;
 
+  /// Where the host listens for its peers; empty if it is not believed to
+  /// answer or another process than `process` runs there now.
+  auto EndpointOf(const std::string& host,
+                  const std::string& process,
+                  TimePoint now) const -> std::string;
+
   /// The shortest way to the store among the peers that answer.
   auto BestStoreLatency(TimePoint now) const
       -> std::optional<std::chrono::microseconds>;
@@ -71,6 +77,7 @@
   const std::string own_host;
   const std::string own_endpoint;
   std::map<std::string, std::string> processes;  ///< By host.
+  std::map<std::string, std::string> endpoints;  ///< By host.
   std::map<std::string, Peer> peers;             ///< By endpoint.
 };
 
--- a/libs/cell/include/cell/records.h
+++ b/libs/cell/include/cell/records.h
@@ -3,6 +3,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "cell/job.h"
 
@@ -19,4 +21,10 @@
 auto DecodeProgress(std::string_view bytes) -> std::optional<JobProgress>;
 auto DecodeState(std::string_view bytes) -> std::optional<JobState>;
 
+/// Keys and values that one host hands to another to be stored.
+using RecordGroup = std::vector<std::pair<std::string, std::string>>;
+auto EncodeGroup(const RecordGroup& group) -> std::string;
+/// Empty if the bytes are not a group.
+auto DecodeGroup(std::string_view bytes) -> std::optional<RecordGroup>;
+
 }  // namespace shallotbank::cell
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -70,6 +70,7 @@
     return;  // The host has left, or the record is not one of ours.
   }
   this->processes[host] = announcement->process;
+  this->endpoints[host] = announcement->endpoint;
   if (host != this->own_host && announcement->endpoint != this->own_endpoint) {
     auto& peer = this->peers[announcement->endpoint];
     if (peer.value != bytes) {
@@ -108,6 +109,19 @@
   return found == this->processes.end() ? "" : found->second;
 }
 
+auto PeerDirectory::EndpointOf(const std::string& host,
+                               const std::string& process,
+                               TimePoint now) const -> std::string {
+  const auto endpoint = this->endpoints.find(host);
+  if (endpoint == this->endpoints.end() || this->ProcessOf(host) != process) {
+    return "";
+  }
+  const auto peer = this->peers.find(endpoint->second);
+  return peer != this->peers.end() && this->IsTrusted(peer->second, now)
+             ? endpoint->second
+             : "";
+}
+
 auto PeerDirectory::BestStoreLatency(TimePoint now) const
     -> std::optional<std::chrono::microseconds> {
   std::optional<std::chrono::microseconds> best;
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -148,6 +148,29 @@
                      {progress.next_occurrence, std::move(occurrences)}));
 }
 
+auto EncodeGroup(const RecordGroup& group) -> std::string {
+  auto rows = Json::array();
+  for (const auto& [key, value] : group) {
+    rows.push_back(
+        Json::array({key, Json::binary({value.begin(), value.end()})}));
+  }
+  return ToText(rows);
+}
+
+auto DecodeGroup(std::string_view bytes) -> std::optional<RecordGroup> {
+  try {
+    RecordGroup group;
+    for (const auto& row : Json::from_msgpack(bytes)) {
+      const auto& value = row.at(1).get_binary();
+      group.emplace_back(row.at(0).get<std::string>(),
+                         std::string(value.begin(), value.end()));
+    }
+    return group;
+  } catch (const Json::exception&) {
+    return std::nullopt;  // The caller tells the sender.
+  }
+}
+
 auto DecodeState(std::string_view bytes) -> std::optional<JobState> {
   if (bytes.empty()) {
     return std::nullopt;
