Keep one collector of new jobs behind a slow store

Hosts took their records back from the leader after 1.5 s and appended themselves, so the partition queued beyond 2 s and refused; without a leader all six appended.

Change: the group's time-out follows these times (2.7 s; callers wait 3 s). Without a leader the hosts hand records to one deputy, the first by endpoint that they reach; what a former collector has not answered is handed on anew at once. A host that stops is known as such when it withdraws its announcement.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -30,9 +30,6 @@
 /// The leader stores new jobs itself, for all hosts; it reads those that others
 /// have stored because they could not reach it.
 constexpr std::chrono::milliseconds kLeaderJobsPause(100);
-/// Records are handed to a leader that has renewed its claim so lately. Above
-/// the renewals of a leader behind a slow store.
-constexpr std::chrono::milliseconds kLeaderDoubt(1200);
 /// It needs new jobs only to answer queries, within 3 s of their acceptance.
 constexpr std::chrono::milliseconds kFollowerJobsPause(400);
 /// Claims of hosts that are equally near to the store are spread over this.
@@ -399,13 +396,23 @@
                      this->election.HasLeaseAuthority(now));
 }
 
-auto CellDaemon::LeaderEndpoint(TimePoint now) const -> std::string {
-  if (this->election.IsLeader() ||
-      now - this->election.LastSign() > kLeaderDoubt) {
+auto CellDaemon::CollectorEndpoint(TimePoint now) const -> std::string {
+  if (this->election.IsLeader()) {
     return "";
   }
-  return this->peers.EndpointOf(this->election.LeaderHost(),
-                                this->election.LeaderProcess(), now);
+  if (now - this->election.LastSign() < kLeaderSilence) {
+    const auto leader = this->peers.EndpointOf(
+        this->election.LeaderHost(), this->election.LeaderProcess(), now);
+    if (!leader.empty()) {
+      return leader;
+    }
+  }
+  // Without a leader all hosts choose the same deputy, as long as they reach
+  // the same peers.
+  const auto own = this->settings.peers.Text();
+  const auto reachable = this->peers.Reachable(now);
+  const auto first = std::min_element(reachable.begin(), reachable.end());
+  return first == reachable.end() || own < *first ? "" : *first;
 }
 
 auto CellDaemon::TickPeers(TimePoint now) -> void {
@@ -452,7 +459,7 @@
   this->progress_topic.Tick(now);
   this->leader_topic.Tick(now);
   this->hosts_topic.Tick(now);
-  this->writer.SetLeader(this->LeaderEndpoint(now));
+  this->writer.SetCollector(this->CollectorEndpoint(now));
   this->writer.Tick(now);
   this->store.Tick(now);
   this->TickElection(now);
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -56,8 +56,9 @@
   /// Records that a peer hands over to be stored.
   auto TakeRecords(const http::Request& request, http::Responder responder)
       -> void;
-  /// The leader's endpoint, if records are to be handed to it.
-  auto LeaderEndpoint(TimePoint now) const -> std::string;
+  /// The host that stores new jobs for all: the leader, or a deputy while there
+  /// is none. Empty for this host.
+  auto CollectorEndpoint(TimePoint now) const -> std::string;
   /// Goes on accepting connections until the balancer sends no more.
   auto WaitForBalancer(TimePoint stopped_at) -> void;
   auto SendLeaderRecord(const LeaderAppend& append) -> void;
--- a/apps/cell/record_writer.cc
+++ b/apps/cell/record_writer.cc
@@ -23,13 +23,13 @@
 /// Appends of this host that may be open: while one is on its way, another is
 /// gathered.
 constexpr int kMaxOpenAppends = 2;
-/// Groups on their way to the leader, so that a record need not wait for the
+/// Groups on their way to the collector, so that a record need not wait for the
 /// answer to those before it.
 constexpr int kMaxOpenGroups = 4;
-/// The leader answers within two appends of a slow store. Afterwards the
-/// records are appended by this host.
-constexpr std::chrono::milliseconds kGroupTimeout(1500);
-/// The leader gives up sooner than its peer.
+/// Behind a store whose appends take 0.4 s and answer after 0.7 s, a record
+/// waits for up to three of them. Callers wait 3 s.
+constexpr std::chrono::milliseconds kGroupTimeout(2700);
+/// The collector gives up sooner than its peer.
 constexpr std::chrono::milliseconds kGroupMargin(100);
 
 auto VerdictOf(const http::Reply& reply) -> Verdict {
@@ -108,8 +108,18 @@
   }
 }
 
-auto RecordWriter::SetLeader(std::string endpoint) -> void {
-  this->leader = std::move(endpoint);
+auto RecordWriter::SetCollector(const std::string& endpoint) -> void {
+  if (endpoint == this->collector) {
+    return;
+  }
+  this->collector = endpoint;
+  for (const auto& entry : this->entries) {
+    if (!entry->handed_to.empty()) {
+      entry->handed_to.clear();
+      entry->is_in_flight = false;
+      entry->is_uncertain = true;
+    }
+  }
 }
 
 auto RecordWriter::GiveUpOverdue(TimePoint now) -> void {
@@ -125,11 +135,11 @@
   }
 }
 
-auto RecordWriter::Collect(bool with_handed_on) -> Batch {
+auto RecordWriter::Collect(bool is_direct) -> Batch {
   Batch batch;
   std::size_t bytes = 0;
   for (const auto& entry : this->entries) {
-    if (entry->is_in_flight || entry->is_direct == with_handed_on) {
+    if (entry->is_in_flight || entry->is_direct != is_direct) {
       continue;
     }
     if (bytes > kMaxBatchBytes) {
@@ -144,33 +154,34 @@
 
 auto RecordWriter::Tick(TimePoint now) -> void {
   this->GiveUpOverdue(now);
-  if (this->leader.empty()) {
+  if (this->collector.empty()) {
     for (const auto& entry : this->entries) {
       entry->is_direct = true;
     }
   } else if (this->open_groups < kMaxOpenGroups) {
-    const auto batch = this->Collect(/*with_handed_on=*/true);
+    const auto batch = this->Collect(/*is_direct=*/false);
     if (!batch.empty()) {
-      this->SendToLeader(batch);
+      this->HandOn(batch);
     }
   }
   if (this->open_appends >= kMaxOpenAppends || now < this->next_try) {
     return;
   }
-  const auto batch = this->Collect(/*with_handed_on=*/false);
+  const auto batch = this->Collect(/*is_direct=*/true);
   if (!batch.empty()) {
     this->Append(batch, now);
   }
 }
 
-auto RecordWriter::SendToLeader(const Batch& batch) -> void {
+auto RecordWriter::HandOn(const Batch& batch) -> void {
   RecordGroup group;
   for (const auto& entry : batch) {
+    entry->handed_to = this->collector;
     group.emplace_back(entry->record.key, entry->record.value.value_or(""));
   }
   http::Call call;
   call.method = "POST";
-  call.url = "http://" + this->leader + kRecordsPath;
+  call.url = "http://" + this->collector + kRecordsPath;
   call.body = EncodeGroup(group);
   call.timeout = kGroupTimeout;
   call.idempotent = true;
@@ -178,27 +189,36 @@
   this->runtime.metrics.Add("record_groups_total");
   this->store.SendDirect(
       std::move(call),
-      [this, batch, endpoint = this->leader](const http::Reply& reply) {
+      [this, batch, endpoint = this->collector](const http::Reply& reply) {
         this->open_groups--;
-        const auto verdict = VerdictOf(reply);
-        if (verdict != Verdict::kRan) {
-          this->runtime.metrics.Add("record_groups_failed_total");
-          LogEvent(Event::kRecordsReturned,
-                   {{"leader", endpoint},
-                    {"records", std::to_string(batch.size())},
-                    {"status", std::to_string(reply.status)},
-                    {"error", reply.error}});
-        }
-        if (reply.status == 0) {
-          this->store.NotePeerFailure(endpoint);
-        }
-        for (const auto& entry : batch) {
-          entry->is_direct = true;
-        }
-        this->Settle(batch, verdict, /*is_final=*/false);
+        this->OnHandedOn(batch, endpoint, reply);
       });
 }
 
+auto RecordWriter::OnHandedOn(const Batch& batch,
+                              const std::string& endpoint,
+                              const http::Reply& reply) -> void {
+  const auto verdict = VerdictOf(reply);
+  if (verdict != Verdict::kRan) {
+    this->runtime.metrics.Add("record_groups_failed_total");
+    LogEvent(Event::kRecordsReturned,
+             {{"collector", endpoint},
+              {"records", std::to_string(batch.size())},
+              {"status", std::to_string(reply.status)},
+              {"error", reply.error}});
+  }
+  if (reply.status == 0) {
+    this->store.NotePeerFailure(endpoint);
+  }
+  for (const auto& entry : batch) {
+    if (entry->handed_to == endpoint) {
+      entry->handed_to.clear();
+      entry->is_direct = true;
+    }
+  }
+  this->Settle(batch, verdict, /*is_final=*/false);
+}
+
 auto RecordWriter::Append(const Batch& batch, TimePoint now) -> void {
   adapter::AppendRequest request;
   request.topic = this->topic;
--- a/apps/cell/record_writer.h
+++ b/apps/cell/record_writer.h
@@ -17,9 +17,9 @@
 /// few calls. A record may be stored more than once.
 ///
 /// A partition of the store takes one append at a time, so all hosts hand their
-/// records to the leader, which groups them; behind a slow store six writers
-/// would queue up beyond what it takes. A host whose leader is gone or does not
-/// answer appends itself.
+/// records to one of them, the collector, which groups them; behind a slow
+/// store six writers would queue up beyond what it takes. A host appends a
+/// record itself if the collector failed with it.
 class RecordWriter {
  public:
   /// kRan once stored, kNotRun if it never will be, else kMayHaveRun.
@@ -38,9 +38,9 @@
   /// Stores the records of a peer and answers it.
   auto WriteForPeer(const http::Request& request,
                     std::shared_ptr<http::Responder> responder) -> void;
-  /// The leader's endpoint for peers; empty if this host leads or the leader is
-  /// not believed to answer.
-  auto SetLeader(std::string endpoint) -> void;
+  /// The endpoint of the host that records are handed to; empty if it is this
+  /// one. What another collector has not answered is handed on anew.
+  auto SetCollector(const std::string& endpoint) -> void;
   /// Called every few milliseconds.
   auto Tick(TimePoint now) -> void;
 
@@ -50,8 +50,9 @@
     TimePoint deadline;
     Done done;
     bool is_in_flight = false;
-    /// It is not handed on: it came from a peer, or the leader failed with it.
+    /// It is not handed on: it came from a peer, or a collector failed with it.
     bool is_direct = false;
+    std::string handed_to;  ///< The collector that has not answered yet.
     /// A call without an answer held it, so it may be stored, also later.
     bool is_uncertain = false;
   };
@@ -59,8 +60,11 @@
 
   auto GiveUpOverdue(TimePoint now) -> void;
   /// Entries that wait for their next call, up to the size of a batch.
-  auto Collect(bool with_handed_on) -> Batch;
-  auto SendToLeader(const Batch& batch) -> void;
+  auto Collect(bool is_direct) -> Batch;
+  auto HandOn(const Batch& batch) -> void;
+  auto OnHandedOn(const Batch& batch,
+                  const std::string& endpoint,
+                  const http::Reply& reply) -> void;
   auto Append(const Batch& batch, TimePoint now) -> void;
   auto OnAppended(const Batch& batch, const adapter::AppendResult& result)
       -> void;
@@ -71,10 +75,10 @@
   StoreGateway& store;
   const std::string topic;
   const OnStored on_stored;
-  std::string leader;
+  std::string collector;
   std::deque<std::shared_ptr<Entry>> entries;
   int open_appends = 0;
-  int open_groups = 0;  ///< On their way to the leader.
+  int open_groups = 0;  ///< On their way to a collector.
   TimePoint next_try;
 };
 
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -67,7 +67,11 @@
                                    TimePoint now) -> void {
   const auto announcement = DecodeAnnouncement(bytes);
   if (!announcement) {
-    return;  // The host has left, or the record is not one of ours.
+    const auto endpoint = this->endpoints.extract(host);
+    if (!endpoint.empty()) {
+      this->peers[endpoint.mapped()].changed_at = TimePoint();
+    }
+    return;  // The host stops, or the record is not one of ours.
   }
   this->processes[host] = announcement->process;
   this->endpoints[host] = announcement->endpoint;
