Tell the other hosts of stored progress instead of having them read it

Cause: with the lists read less often, half of the calls to the store were reads of progress: six hosts, 14 times a second each, so that any of them can show that a job has ended. They also showed it up to 60 ms late.

Progress carries the offset of its record, so that an older record read later is ignored; that also keeps a state from going back while a host reads its pages anew.

Tests: older_progress_is_ignored, malformed_groups_and_news.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds kTickInterval(4);
 /// Pause between two reads of a topic whose records need not be known at once.
 constexpr std::chrono::milliseconds kProgressPause(60);
+/// The same while the leader tells its progress.
+constexpr std::chrono::milliseconds kToldProgressPause(1000);
+/// A leader with work tells some progress within this time; else it has none,
+/// or its news do not get through.
+constexpr std::chrono::milliseconds kRecentNews(1000);
 constexpr std::chrono::milliseconds kHostsPause(300);
 /// Each worker writes its entry every 1.5 s; a new or leaving one has to be
 /// known within 2 s.
@@ -59,6 +64,7 @@
 constexpr std::size_t kMaxCallerConnections = 1500;
 constexpr std::size_t kMaxPeerConnections = 200;
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
@@ -93,6 +99,7 @@
       election(this->settings.host,
                this->process,
                kOrdinaryLatency * kClaimDelayFactor),
+      feed(this->runtime, this->store, this->peers),
       configuration_topic(
           this->runtime,
           this->store,
@@ -123,22 +130,18 @@
                     this->jobs_read_to_end = this->runtime.clock.Now();
                     this->service.SetFreshness(this->jobs_read_to_end);
                   }}),
-      progress_topic(this->runtime,
-                     this->store,
-                     kProgressTopic,
-                     kProgressPause,
-                     {[this](const auto& records) {
-                        for (const auto& record : records) {
-                          this->jobs.OnProgressRecord(
-                              record.key, record.value,
-                              this->runtime.clock.Now());
-                        }
-                      },
-                      [this](const auto& record) {
-                        this->jobs.OnProgressRecord(record.key, record.value,
-                                                    this->runtime.clock.Now());
-                      },
-                      [](Offset) {}}),
+      progress_topic(
+          this->runtime,
+          this->store,
+          kProgressTopic,
+          kProgressPause,
+          {[this](const auto& records) {
+             for (const auto& record : records) {
+               this->OnProgressRecord(record);
+             }
+           },
+           [this](const auto& record) { this->OnProgressRecord(record); },
+           [](Offset) {}}),
       leader_topic(
           this->runtime,
           this->store,
@@ -177,6 +180,19 @@
 
 CellDaemon::~CellDaemon() = default;
 
+auto CellDaemon::OnProgressRecord(const adapter::KeyedRecord& record) -> void {
+  this->jobs.OnProgressRecord(record.key, record.value, record.offset,
+                              this->runtime.clock.Now());
+}
+
+auto CellDaemon::OnProgressNews(const std::vector<ProgressNews>& news) -> void {
+  const auto now = this->runtime.clock.Now();
+  this->news_at = now;
+  for (const auto& one : news) {
+    this->jobs.OnProgressRecord(one.job, one.progress, one.offset, now);
+  }
+}
+
 auto CellDaemon::OnHostRecord(const adapter::KeyedRecord& record) -> void {
   this->peers.OnAnnouncement(record.key, record.value.value_or(""),
                              this->runtime.clock.Now());
@@ -385,7 +401,11 @@
                                      [this](const std::string& host) {
                                        return this->peers.ProcessOf(host);
                                      },
-                                     now));
+                                     now),
+                                 [this](std::vector<ProgressNews> news) {
+                                   this->OnProgressNews(news);
+                                   this->feed.Tell(news);
+                                 });
     this->leader->TakeOver();
     this->leading_since = now;
   }
@@ -453,6 +473,11 @@
                                          : kFollowerJobsPause);
   this->workers_topic.SetPause(this->leader ? kWorkersPause
                                             : kFollowerWorkersPause);
+  const bool hears_news =
+      this->leader != nullptr || now - this->news_at < kRecentNews;
+  this->progress_topic.SetPause(hears_news ? kToldProgressPause
+                                           : kProgressPause);
+  this->feed.Tick(now);
   this->configuration_topic.Tick(now);
   this->workers_topic.Tick(now);
   this->jobs_topic.Tick(now);
@@ -522,6 +547,8 @@
           this->store.Relay(request, std::move(responder));
         } else if (request.path == kRecordsPath) {
           this->TakeRecords(request, std::move(responder));
+        } else if (request.path == kNewsPath) {
+          this->TakeNews(request, std::move(responder));
         } else if (request.path == "/metrics") {
           responder.Send(
               {kOk, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
@@ -545,6 +572,19 @@
   }
 }
 
+auto CellDaemon::TakeNews(const http::Request& request,
+                          http::Responder responder) -> void {
+  auto news = DecodeNews(request.body);
+  if (!news) {
+    responder.Send({kBadRequest, {}, "not news of progress"});
+    return;
+  }
+  const bool is_taken = this->loop.Post(
+      [this, kept = std::make_shared<std::vector<ProgressNews>>(
+                 std::move(*news))] { this->OnProgressNews(*kept); });
+  responder.Send({is_taken ? kOk : kUnavailable, {}, ""});
+}
+
 auto CellDaemon::RunCore() -> void {
   this->configuration_topic.Start();
   this->workers_topic.Start();
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -16,10 +16,12 @@
 #include "cell/election.h"
 #include "cell/job_table.h"
 #include "cell/peer_directory.h"
+#include "cell/records.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "job_service.h"
 #include "leader.h"
+#include "progress_feed.h"
 #include "record_writer.h"
 #include "runtime.h"
 #include "store_gateway.h"
@@ -56,6 +58,9 @@
   /// Records that a peer hands over to be stored.
   auto TakeRecords(const http::Request& request, http::Responder responder)
       -> void;
+  /// News of the leader.
+  auto TakeNews(const http::Request& request, http::Responder responder)
+      -> void;
   /// The host that stores new jobs for all: the leader, or a deputy while there
   /// is none. Empty for this host.
   auto CollectorEndpoint(TimePoint now) const -> std::string;
@@ -64,6 +69,8 @@
   auto SendLeaderRecord(const LeaderAppend& append) -> void;
 
   auto OnJobs(const std::vector<adapter::KeyedRecord>& records) -> void;
+  auto OnProgressRecord(const adapter::KeyedRecord& record) -> void;
+  auto OnProgressNews(const std::vector<ProgressNews>& news) -> void;
   auto OnHostRecord(const adapter::KeyedRecord& record) -> void;
   auto OnJobRecord(const adapter::KeyedRecord& record) -> void;
   /// `job` is null if the record of the key changed nothing.
@@ -91,6 +98,8 @@
   std::vector<WorkerReport> worker_list;
   const std::string process;
   Election election;
+  ProgressFeed feed;
+  TimePoint news_at;  ///< When the leader last told progress.
   std::unique_ptr<Leader> leader;
   TopicFollower configuration_topic;
   TopicFollower workers_topic;
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -68,12 +68,14 @@
                StoreGateway& store,
                PeerDirectory& peers,
                Epoch epoch,
-               TimePoint former_authority_end)
+               TimePoint former_authority_end,
+               OnProgress on_progress)
     : runtime(runtime),
       store(store),
       peers(peers),
       epoch(epoch),
       former_authority_end(former_authority_end),
+      on_progress(std::move(on_progress)),
       alive(std::make_shared<bool>(true)),
       workers_client({.max_connections_per_host = kConnectionsPerWorker}) {}
 
@@ -373,6 +375,18 @@
                    });
 }
 
+auto Leader::TellProgress(std::uint64_t number, Offset offset) -> void {
+  const auto found = this->outgoing.find(number);
+  if (found == this->outgoing.end()) {
+    return;  // Known to be stored by a later one; the others read it.
+  }
+  std::vector<ProgressNews> news;
+  for (const auto& [job, bytes] : found->second.batch.records) {
+    news.push_back({job.Text(), bytes, offset + news.size()});
+  }
+  this->on_progress(std::move(news));
+}
+
 auto Leader::OnBatchStored(std::uint64_t number) -> void {
   const auto now = this->runtime.clock.Now();
   this->is_sequence_settled = true;
@@ -392,6 +406,7 @@
   const auto found = this->outgoing.find(number);
   const auto result = adapter::ReadAppend(reply);
   if (result.outcome == Outcome::kStored) {
+    this->TellProgress(number, result.offset);
     this->OnBatchStored(number);
     return;
   }
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -10,6 +10,7 @@
 #include "adapter/operator_documents.h"
 #include "cell/job_table.h"
 #include "cell/peer_directory.h"
+#include "cell/records.h"
 #include "cell/scheduler.h"
 #include "runtime.h"
 #include "store_gateway.h"
@@ -28,11 +29,15 @@
     TimePoint jobs_read_to_end;
   };
 
+  /// Called with progress once it is stored.
+  using OnProgress = std::function<void(std::vector<ProgressNews>)>;
+
   Leader(Runtime& runtime,
          StoreGateway& store,
          PeerDirectory& peers,
          Epoch epoch,
-         TimePoint former_authority_end);
+         TimePoint former_authority_end,
+         OnProgress on_progress);
   ~Leader();
 
   /// Shuts out the former leader's writes; calls back with the offset from
@@ -63,6 +68,7 @@
   auto SendBatch(std::uint64_t number) -> void;
   auto OnBatchReply(std::uint64_t number, const http::Reply& reply) -> void;
   auto OnBatchStored(std::uint64_t number) -> void;
+  auto TellProgress(std::uint64_t number, Offset offset) -> void;
   auto DropOldJobs(const View& view, TimePoint now) -> void;
   auto ReportState(TimePoint now) -> void;
 
@@ -71,6 +77,7 @@
   PeerDirectory& peers;
   const Epoch epoch;
   const TimePoint former_authority_end;
+  const OnProgress on_progress;
   // Replies hold a weak pointer, so that those of an ended epoch are dropped.
   std::shared_ptr<bool> alive;
   /// Of its own, so that the connections to workers end with the duty: workers
--- a/apps/cell/record_writer.cc
+++ b/apps/cell/record_writer.cc
@@ -187,8 +187,8 @@
   call.idempotent = true;
   this->open_groups++;
   this->runtime.metrics.Add("record_groups_total");
-  this->store.SendDirect(
-      std::move(call),
+  this->store.SendToPeer(
+      this->collector, std::move(call),
       [this, batch, endpoint = this->collector](const http::Reply& reply) {
         this->open_groups--;
         this->OnHandedOn(batch, endpoint, reply);
@@ -207,9 +207,6 @@
               {"status", std::to_string(reply.status)},
               {"error", reply.error}});
   }
-  if (reply.status == 0) {
-    this->store.NotePeerFailure(endpoint);
-  }
   for (const auto& entry : batch) {
     if (entry->handed_to == endpoint) {
       entry->handed_to.clear();
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -198,8 +198,18 @@
   }
 }
 
-auto StoreGateway::NotePeerFailure(const std::string& endpoint) -> void {
-  this->peers.OnFailure(endpoint, this->runtime.clock.Now());
+auto StoreGateway::SendToPeer(const std::string& endpoint,
+                              http::Call call,
+                              Done done) -> void {
+  this->SendDirect(std::move(call), [this, endpoint, done = std::move(done)](
+                                        const http::Reply& reply) {
+    if (reply.verdict == Verdict::kRan) {
+      this->peers.OnSuccess(endpoint);
+    } else {
+      this->peers.OnFailure(endpoint, this->runtime.clock.Now());
+    }
+    done(reply);
+  });
 }
 
 auto StoreGateway::SendThrough(const std::string& endpoint,
@@ -216,23 +226,20 @@
   relayed.body = std::move(call.body);
   relayed.timeout = timeout + kRelayMargin;
   relayed.idempotent = true;  // Only calls that repeat safely are relayed.
-  this->SendDirect(std::move(relayed), [this, endpoint, done = std::move(done)](
-                                           http::Reply reply) {
-    const bool is_relayed =
-        http::FindHeader(reply.headers, kRelayedHeader) != nullptr;
-    if (reply.verdict == Verdict::kRan) {
-      this->peers.OnSuccess(endpoint);
-    } else {
-      this->peers.OnFailure(endpoint, this->runtime.clock.Now());
-    }
-    if (reply.verdict != Verdict::kRan || !is_relayed) {
-      // The peer may have sent the call on before it failed.
-      reply.verdict = reply.verdict == Verdict::kNotRun ? Verdict::kNotRun
-                                                        : Verdict::kMayHaveRun;
-      reply.status = 0;
-    }
-    done(std::move(reply));
-  });
+  this->SendToPeer(endpoint, std::move(relayed),
+                   [done = std::move(done)](http::Reply reply) {
+                     const bool is_relayed =
+                         http::FindHeader(reply.headers, kRelayedHeader) !=
+                         nullptr;
+                     if (reply.verdict != Verdict::kRan || !is_relayed) {
+                       // The peer may have sent the call on before it failed.
+                       reply.verdict = reply.verdict == Verdict::kNotRun
+                                           ? Verdict::kNotRun
+                                           : Verdict::kMayHaveRun;
+                       reply.status = 0;
+                     }
+                     done(std::move(reply));
+                   });
 }
 
 auto StoreGateway::Relay(const http::Request& request,
--- a/apps/cell/store_gateway.h
+++ b/apps/cell/store_gateway.h
@@ -26,9 +26,10 @@
   auto SendThrough(const std::string& endpoint, http::Call call, Done done)
       -> void;
   /// Sends directly only.
-  /// A call to the peer got no answer.
-  auto NotePeerFailure(const std::string& endpoint) -> void;
   auto SendDirect(http::Call call, Done done) -> void;
+  /// A call to the peer itself; its outcome counts for the directory.
+  auto SendToPeer(const std::string& endpoint, http::Call call, Done done)
+      -> void;
 
   /// Called every few milliseconds: calls whose direct way stays silent go
   /// through a peer as well.
--- a/apps/cell/topics.h
+++ b/apps/cell/topics.h
@@ -16,6 +16,9 @@
 /// Path at which the leader takes records of others in, to store them.
 inline constexpr const char* kRecordsPath = "/v1/records";
 
+/// Path at which hosts hear of progress that the leader has stored.
+inline constexpr const char* kNewsPath = "/v1/progress";
+
 /// Path and headers by which a host has a peer call a platform service for it.
 inline constexpr const char* kRelayPath = "/v1/relay";
 inline constexpr const char* kRelayMethodHeader = "Shallotbank-Relay-Method";
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -18,6 +18,7 @@
 struct StoredJob {
   std::string spec_bytes;      ///< Empty while only other records were seen.
   std::string progress_bytes;  ///< Empty before the first progress.
+  Offset progress_offset = 0;  ///< Of the record that holds it.
   QueueName queue;
   OrganisationId organisation;
   bool is_cancel_asked = false;
@@ -52,9 +53,11 @@
                       TimePoint now,
                       std::chrono::system_clock::time_point wall)
       -> const StoredJob*;
-  /// A record of the topic of progress.
+  /// A record of the topic of progress. One that is older than what is known of
+  /// the job is ignored: the leader tells its news before they are read.
   auto OnProgressRecord(const std::string& key,
                         std::optional<std::string> value,
+                        Offset offset,
                         TimePoint now) -> void;
 
   /// The job, if it was accepted.
--- a/libs/cell/include/cell/records.h
+++ b/libs/cell/include/cell/records.h
@@ -19,6 +19,16 @@
 /// reader that only shows states need not decode the rest.
 auto EncodeProgress(const JobProgress& progress) -> std::string;
 auto DecodeProgress(std::string_view bytes) -> std::optional<JobProgress>;
+/// Progress that is stored, as the leader tells the other hosts.
+struct ProgressNews {
+  std::string job;
+  std::string progress;
+  Offset offset = 0;  ///< Of the stored record.
+};
+auto EncodeNews(const std::vector<ProgressNews>& news) -> std::string;
+/// Empty if the bytes are not news.
+auto DecodeNews(std::string_view bytes)
+    -> std::optional<std::vector<ProgressNews>>;
 auto DecodeState(std::string_view bytes) -> std::optional<JobState>;
 
 /// Keys and values that one host hands to another to be stored.
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -112,6 +112,7 @@
 
 auto JobTable::OnProgressRecord(const std::string& key,
                                 std::optional<std::string> value,
+                                Offset offset,
                                 TimePoint now) -> void {
   const JobId id(key);
   if (!value) {
@@ -128,7 +129,11 @@
     return;
   }
   auto& job = this->jobs[id];
+  if (offset < job.progress_offset) {
+    return;
+  }
   const bool was_waiting = this->IsWaiting(job);
+  job.progress_offset = offset;
   job.progress_bytes = std::move(*value);
   if (job.spec_bytes.empty() && !IsFinal(*state)) {
     this->unknown_jobs.insert(id);
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -171,6 +171,32 @@
   }
 }
 
+auto EncodeNews(const std::vector<ProgressNews>& news) -> std::string {
+  auto rows = Json::array();
+  for (const auto& one : news) {
+    rows.push_back(Json::array(
+        {one.job, Json::binary({one.progress.begin(), one.progress.end()}),
+         one.offset}));
+  }
+  return ToText(rows);
+}
+
+auto DecodeNews(std::string_view bytes)
+    -> std::optional<std::vector<ProgressNews>> {
+  try {
+    std::vector<ProgressNews> news;
+    for (const auto& row : Json::from_msgpack(bytes)) {
+      const auto& progress = row.at(1).get_binary();
+      news.push_back({row.at(0).get<std::string>(),
+                      std::string(progress.begin(), progress.end()),
+                      row.at(2).get<Offset>()});
+    }
+    return news;
+  } catch (const Json::exception&) {
+    return std::nullopt;  // The caller tells the sender.
+  }
+}
+
 auto DecodeState(std::string_view bytes) -> std::optional<JobState> {
   if (bytes.empty()) {
     return std::nullopt;
--- a/libs/cell/tests/job_table_test.cc
+++ b/libs/cell/tests/job_table_test.cc
@@ -77,7 +77,7 @@
     BOOST_TEST_CONTEXT(one.name) {
       const ManualClock clock;
       JobTable jobs;
-      jobs.OnProgressRecord("a", EncodeProgress({JobState::kRunning, {}, 0}),
+      jobs.OnProgressRecord("a", EncodeProgress({JobState::kRunning, {}, 0}), 1,
                             clock.Now());
       if (one.has_job) {
         jobs.OnJobRecord("a", RecordOf("a", kMorning), clock.Now());
@@ -86,12 +86,66 @@
       if (one.state) {
         progress = EncodeProgress({*one.state, {}, 0});
       }
-      jobs.OnProgressRecord("a", progress, clock.Now());
+      jobs.OnProgressRecord("a", progress, 2, clock.Now());
       BOOST_TEST(jobs.HasProgressOfUnknownJobs() == one.is_unknown);
     }
   }
 }
 
+struct NewsCase {
+  const char* name;
+  Offset told;
+  Offset read;  ///< Says that the job runs.
+  JobState expected;
+};
+
+// The leader tells that a job has ended before its topic is read; reading it
+// must not show the job as running again.
+BOOST_AUTO_TEST_CASE(older_progress_is_ignored) {
+  const NewsCase cases[] = {
+      {"told first, an older record is read", 7, 6, JobState::kCompleted},
+      {"a newer record is read", 7, 8, JobState::kRunning},
+  };
+  for (const auto& one : cases) {
+    BOOST_TEST_CONTEXT(one.name) {
+      const ManualClock clock;
+      JobTable jobs;
+      jobs.OnJobRecord("a", RecordOf("a", kMorning), clock.Now());
+      const auto news = DecodeNews(EncodeNews(
+          {{"a", EncodeProgress({JobState::kCompleted, {}, 0}), one.told}}));
+      BOOST_REQUIRE((news && news->size() == 1));
+      const auto& first = news->front();
+      jobs.OnProgressRecord(first.job, first.progress, first.offset,
+                            clock.Now());
+      jobs.OnProgressRecord("a", EncodeProgress({JobState::kRunning, {}, 0}),
+                            one.read, clock.Now());
+      BOOST_TEST((jobs.Find(JobId("a"))->State() == one.expected));
+    }
+  }
+}
+
+struct BytesCase {
+  const char* name;
+  std::string bytes;
+};
+
+// What another release of a host sends is refused whole.
+BOOST_AUTO_TEST_CASE(malformed_groups_and_news) {
+  const BytesCase cases[] = {
+      {"nothing", ""},
+      {"no msgpack", "\xc1"},
+      {"a number", "\x07"},
+      {"rows of another shape", "\x91\x91\x07"},
+      {"cut off", EncodeGroup({{"key", "value"}}).substr(0, 5)},
+  };
+  for (const auto& one : cases) {
+    BOOST_TEST_CONTEXT(one.name) {
+      BOOST_TEST(!DecodeGroup(one.bytes));
+      BOOST_TEST(!DecodeNews(one.bytes));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(the_oldest_come_first) {
   ManualClock clock;
   JobTable jobs;
