--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install_packages.sh
+# Objects are shared between clones in different folders.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 presets=${SHALLOTBANK_PRESETS:-debug asan tsan}
 unset SHALLOTBANK_PRESETS
 for preset in $presets; do
