Let only silent peers isolate a leader

Since progress is told to all, failures of dead processes add up within 40 ms. A refused or reset connection shows that the host is reached.

Test: only_silence_isolates.

--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -28,6 +28,8 @@
 /// Without any direct answer for this time, open calls try a second way. Above
 /// the pace of answers of a slow store: some call ends sooner even then.
 constexpr std::chrono::milliseconds kSilentWay(600);
+/// A connection that fails sooner was refused or reset by the peer's host.
+constexpr std::chrono::milliseconds kRefusedWithin(200);
 /// Added to a relayed call's timeout for the way to the peer and back.
 constexpr std::chrono::milliseconds kRelayMargin(200);
 constexpr std::chrono::milliseconds kDefaultRelayTimeout(1500);
@@ -201,15 +203,18 @@
 auto StoreGateway::SendToPeer(const std::string& endpoint,
                               http::Call call,
                               Done done) -> void {
-  this->SendDirect(std::move(call), [this, endpoint, done = std::move(done)](
-                                        const http::Reply& reply) {
-    if (reply.verdict == Verdict::kRan) {
-      this->peers.OnSuccess(endpoint);
-    } else {
-      this->peers.OnFailure(endpoint, this->runtime.clock.Now());
-    }
-    done(reply);
-  });
+  const auto sent = this->runtime.clock.Now();
+  this->SendDirect(
+      std::move(call),
+      [this, endpoint, sent, done = std::move(done)](const http::Reply& reply) {
+        const auto now = this->runtime.clock.Now();
+        if (reply.verdict == Verdict::kRan) {
+          this->peers.OnSuccess(endpoint);
+        } else {
+          this->peers.OnFailure(endpoint, now - sent > kRefusedWithin, now);
+        }
+        done(reply);
+      });
 }
 
 auto StoreGateway::SendThrough(const std::string& endpoint,
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -37,8 +37,10 @@
   auto OnAnnouncement(const std::string& host,
                       const std::string& bytes,
                       TimePoint now) -> void;
-  /// A call to the peer failed or succeeded.
-  auto OnFailure(const std::string& endpoint, TimePoint now) -> void;
+  /// A call to the peer failed or succeeded. A failure is silent if nothing
+  /// came back at all; a refused connection shows that its host is reached.
+  auto OnFailure(const std::string& endpoint, bool is_silent, TimePoint now)
+      -> void;
   auto OnSuccess(const std::string& endpoint) -> void;
 
   /// The process that the host announced last; empty if none was seen.
@@ -70,6 +72,7 @@
     TimePoint failed_at;
     TimePoint failed_until;
     int failures = 0;
+    int silent_failures = 0;
     bool is_seed = false;
     std::optional<std::chrono::microseconds> store_latency;
   };
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -89,12 +89,14 @@
   });
 }
 
-auto PeerDirectory::OnFailure(const std::string& endpoint, TimePoint now)
-    -> void {
+auto PeerDirectory::OnFailure(const std::string& endpoint,
+                              bool is_silent,
+                              TimePoint now) -> void {
   const auto found = this->peers.find(endpoint);
   if (found != this->peers.end()) {
     auto& peer = found->second;
     peer.failures = std::min(peer.failures + 1, kMaxFailuresCounted);
+    peer.silent_failures += is_silent ? 1 : 0;
     peer.failed_at = now;
     peer.failed_until = now + kFailurePause * peer.failures;
   }
@@ -104,6 +106,7 @@
   const auto found = this->peers.find(endpoint);
   if (found != this->peers.end()) {
     found->second.failures = 0;
+    found->second.silent_failures = 0;
     found->second.failed_until = TimePoint();
   }
 }
@@ -148,7 +151,7 @@
     const bool is_recent =
         peer.changed_at != TimePoint() && now - peer.changed_at < kSilentAfter;
     alive += is_recent ? 1 : 0;
-    failing += is_recent && peer.failures >= kFailuresToDoubt ? 1 : 0;
+    failing += is_recent && peer.silent_failures >= kFailuresToDoubt ? 1 : 0;
   }
   return alive >= kFewestPeers && failing * 2 > alive;
 }
--- a/libs/cell/tests/peer_directory_test.cc
+++ b/libs/cell/tests/peer_directory_test.cc
@@ -55,7 +55,7 @@
       hosts.Announce("h2", kPeer);
       hosts.clock.Advance(milliseconds(10));
       for (int i = 0; i < one.failures; i++) {
-        hosts.peers.OnFailure(kPeer, hosts.clock.Now());
+        hosts.peers.OnFailure(kPeer, /*is_silent=*/true, hosts.clock.Now());
       }
       hosts.clock.Advance(one.later);
       if (one.announces) {
@@ -66,6 +66,42 @@
   }
 }
 
+struct IsolationCase {
+  const char* name;
+  int silent;   ///< Peers of three that do not answer.
+  int refused;  ///< Peers whose host refuses, because the process has ended.
+  bool is_isolated;
+};
+
+// A leader that most hosts do not answer hands over. Hosts whose processes were
+// killed say nothing about its links.
+BOOST_AUTO_TEST_CASE(only_silence_isolates) {
+  const IsolationCase cases[] = {
+      {"all answer", 0, 0, false},
+      {"one is silent", 1, 0, false},
+      {"most are silent", 2, 0, true},
+      {"most refuse", 0, 2, false},
+      {"one is silent, the others refuse", 1, 2, false},
+  };
+  for (const auto& one : cases) {
+    BOOST_TEST_CONTEXT(one.name) {
+      Directory hosts;
+      const std::string endpoints[] = {"10.0.0.2:1", "10.0.0.3:1",
+                                       "10.0.0.4:1"};
+      for (const auto& endpoint : endpoints) {
+        hosts.Announce("h" + endpoint, endpoint);
+      }
+      for (int i = 0; i < one.silent + one.refused; i++) {
+        for (int failure = 0; failure < 2; failure++) {
+          hosts.peers.OnFailure(endpoints[i], i < one.silent,
+                                hosts.clock.Now());
+        }
+      }
+      BOOST_TEST(hosts.peers.IsIsolated(hosts.clock.Now()) == one.is_isolated);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(own_and_malformed_announcements_name_no_peer) {
   Directory hosts;
   hosts.Announce("h1", "10.0.0.1:1");
