Read progress at once when taking over

The log shows ownership-released at 11.03 s and ownership-gained at 11.81 s, likewise 23.58 and 24.45, 28.32 and 29.12. A new leader begins once it has read all progress, and read it every second, as a leader that knows it does.

Change: ProgressPause tells a host that takes over, which reads without a pause, from one that leads or is told news.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -18,13 +18,7 @@
 
 /// Decisions are made and records grouped this often.
 constexpr std::chrono::milliseconds kTickInterval(4);
-/// Pause between two reads of a topic whose records need not be known at once.
-constexpr std::chrono::milliseconds kProgressPause(60);
-/// The same while the leader tells its progress.
-constexpr std::chrono::milliseconds kToldProgressPause(1000);
-/// A leader with work tells some progress within this time; else it has none,
-/// or its news do not get through.
-constexpr std::chrono::milliseconds kRecentNews(1000);
+/// Pause between two reads of the announcements of hosts.
 constexpr std::chrono::milliseconds kHostsPause(300);
 /// Each worker writes its entry every 1.5 s; a new or leaving one has to be
 /// known within 2 s.
@@ -35,7 +29,8 @@
 /// The leader stores new jobs itself, for all hosts; it reads those that others
 /// have stored because they could not reach it.
 constexpr std::chrono::milliseconds kLeaderJobsPause(100);
-/// It needs new jobs only to answer queries, within 3 s of their acceptance.
+/// A host that does not lead needs new jobs only to answer queries, within 3 s
+/// of their acceptance.
 constexpr std::chrono::milliseconds kFollowerJobsPause(400);
 /// Claims of hosts that are equally near to the store are spread over this.
 constexpr std::chrono::milliseconds kClaimSpread(30);
@@ -134,7 +129,7 @@
           this->runtime,
           this->store,
           kProgressTopic,
-          kProgressPause,
+          ProgressPause(ProgressRole::kFollows, Duration::max()),
           {[this](const auto& records) {
              for (const auto& record : records) {
                this->OnProgressRecord(record);
@@ -467,16 +462,23 @@
   this->is_healthy = has_view && !this->is_stopping;
 }
 
+auto CellDaemon::GetProgressRole() const -> ProgressRole {
+  if (this->leader) {
+    return this->leader->HasBegun() ? ProgressRole::kLeads
+                                    : ProgressRole::kTakesOver;
+  }
+  return this->election.IsLeader() ? ProgressRole::kTakesOver
+                                   : ProgressRole::kFollows;
+}
+
 auto CellDaemon::Tick() -> void {
   const auto now = this->runtime.clock.Now();
   this->jobs_topic.SetPause(this->leader ? kLeaderJobsPause
                                          : kFollowerJobsPause);
   this->workers_topic.SetPause(this->leader ? kWorkersPause
                                             : kFollowerWorkersPause);
-  const bool hears_news =
-      this->leader != nullptr || now - this->news_at < kRecentNews;
-  this->progress_topic.SetPause(hears_news ? kToldProgressPause
-                                           : kProgressPause);
+  this->progress_topic.SetPause(
+      ProgressPause(this->GetProgressRole(), now - this->news_at));
   this->feed.Tick(now);
   this->configuration_topic.Tick(now);
   this->workers_topic.Tick(now);
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -16,6 +16,7 @@
 #include "cell/election.h"
 #include "cell/job_table.h"
 #include "cell/peer_directory.h"
+#include "cell/reading_pace.h"
 #include "cell/records.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -46,6 +47,7 @@
   auto StartServers() -> boost::leaf::result<void>;
   auto RunCore() -> void;
   auto Tick() -> void;
+  auto GetProgressRole() const -> ProgressRole;
   auto TickElection(TimePoint now) -> void;
   auto TickLeader(TimePoint now) -> void;
   auto TickPeers(TimePoint now) -> void;
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -52,6 +52,8 @@
   auto OnWorker(const WorkerReport& report) -> void;
   auto OnWorkerGone(const WorkerId& worker) -> void;
 
+  /// Whether it knows all progress and has started to schedule.
+  auto HasBegun() const -> bool { return this->scheduler != nullptr; }
   auto IsFenced() const -> bool;
   auto GetEpoch() const -> Epoch { return this->epoch; }
 
