--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -397,7 +397,7 @@
                                        return this->peers.ProcessOf(host);
                                      },
                                      now),
-                                 [this](std::vector<ProgressNews> news) {
+                                 [this](const std::vector<ProgressNews>& news) {
                                    this->OnProgressNews(news);
                                    this->feed.Tell(news);
                                  });
@@ -416,8 +416,8 @@
     return "";
   }
   if (now - this->election.LastSign() < kLeaderSilence) {
-    const auto leader = this->peers.EndpointOf(
-        this->election.LeaderHost(), this->election.LeaderProcess(), now);
+    auto leader = this->peers.EndpointOf(this->election.LeaderHost(),
+                                         this->election.LeaderProcess(), now);
     if (!leader.empty()) {
       return leader;
     }
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -384,7 +384,7 @@
   for (const auto& [job, bytes] : found->second.batch.records) {
     news.push_back({job.Text(), bytes, offset + news.size()});
   }
-  this->on_progress(std::move(news));
+  this->on_progress(news);
 }
 
 auto Leader::OnBatchStored(std::uint64_t number) -> void {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -30,7 +30,7 @@
   };
 
   /// Called with progress once it is stored.
-  using OnProgress = std::function<void(std::vector<ProgressNews>)>;
+  using OnProgress = std::function<void(const std::vector<ProgressNews>&)>;
 
   Leader(Runtime& runtime,
          StoreGateway& store,
