Log what the leader's processor time is spent on

Change: a leader-load line once a second with the time of the core loop by duty, calls, wakeups and busy time of both HTTP clients, and the longest delay of a tick; the histogram core_loop_lag_seconds.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -84,7 +84,8 @@
 
 CellDaemon::CellDaemon(adapter::HostSettings given)
     : settings(std::move(given)),
-      runtime{this->settings, this->loop, this->client, this->metrics, {}},
+      runtime{this->settings, this->loop, this->client,
+              this->metrics,  this->busy, {}},
       peers(this->settings.host,
             this->settings.peers.Text(),
             this->settings.seeds),
@@ -492,7 +493,10 @@
                                                 : kFollowerWorkersReadDelay);
   this->progress_topic.SetReadDelay(ProgressReadDelay(
       this->GetProgressRole(), now - this->progress_updated_at));
-  this->feed.Tick(now);
+  {
+    const auto feeding = this->busy.Measure(Duty::kFeeding);
+    this->feed.Tick(now);
+  }
   this->configuration_topic.Tick(now);
   this->workers_topic.Tick(now);
   this->jobs_topic.Tick(now);
@@ -534,6 +538,7 @@
         auto shared = std::make_shared<http::Responder>(std::move(responder));
         auto kept = std::make_shared<http::Request>(std::move(request));
         const bool is_posted = this->loop.Post([this, shared, kept] {
+          const auto serving = this->busy.Measure(Duty::kCallers);
           this->service.Handle(*kept, std::move(*shared));
         });
         if (!is_posted) {
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -90,6 +90,7 @@
   const adapter::HostSettings settings;
   Metrics metrics;
   CoreLoop loop;
+  BusyTime busy;
   http::Client client;
   Runtime runtime;
   PeerDirectory peers;
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -40,6 +40,11 @@
 /// grow.
 constexpr std::chrono::seconds kReportInterval(1);
 
+auto ToMilliseconds(Duration time) -> std::string {
+  return std::to_string(
+      std::chrono::floor<std::chrono::milliseconds>(time).count());
+}
+
 auto CountRefusedStart(Metrics& metrics, OrderOutcome outcome) -> void {
   switch (outcome) {
     case OrderOutcome::kDone:
@@ -211,9 +216,17 @@
   this->advisors = this->peers.Reachable(now);
   this->advisors.insert(this->advisors.begin(), "");
   this->scheduler->SetAdvisors(this->advisors.size());
-  this->Execute(this->scheduler->Decide(now, std::chrono::system_clock::now(),
-                                        may_renew));
-  this->SendBatches();
+  Decisions decisions;
+  {
+    const auto deciding = this->runtime.busy.Measure(Duty::kDeciding);
+    decisions = this->scheduler->Decide(now, std::chrono::system_clock::now(),
+                                        may_renew);
+  }
+  {
+    const auto sending = this->runtime.busy.Measure(Duty::kSending);
+    this->Execute(std::move(decisions));
+    this->SendBatches();
+  }
   this->DeleteExpiredJobs(view, now);
   this->ReportState(now);
 }
@@ -242,6 +255,31 @@
             {"cores_used", std::to_string(counts.cores_used)},
             {"advice_open", std::to_string(counts.advice_queries)},
             {"advisors", std::to_string(this->advisors.size())}});
+  this->ReportLoad();
+}
+
+auto Leader::ReportLoad() -> void {
+  const auto& busy = this->runtime.busy;
+  const auto workers = this->worker_client.Stats();
+  const auto others = this->runtime.client.Stats();
+  const auto lag = this->runtime.loop.TakeMaxTickDelay();
+  this->runtime.metrics.Observe("core_loop_lag_seconds", lag);
+  LogEvent(
+      Event::kLeaderLoad,
+      {{"epoch", std::to_string(this->epoch)},
+       {"callers_ms", ToMilliseconds(busy.Total(Duty::kCallers))},
+       {"store_replies_ms", ToMilliseconds(busy.Total(Duty::kStoreReplies))},
+       {"worker_replies_ms", ToMilliseconds(busy.Total(Duty::kWorkerReplies))},
+       {"deciding_ms", ToMilliseconds(busy.Total(Duty::kDeciding))},
+       {"sending_ms", ToMilliseconds(busy.Total(Duty::kSending))},
+       {"feeding_ms", ToMilliseconds(busy.Total(Duty::kFeeding))},
+       {"worker_calls", std::to_string(workers.calls)},
+       {"worker_client_wakeups", std::to_string(workers.wakeups)},
+       {"worker_client_ms", ToMilliseconds(workers.busy)},
+       {"other_calls", std::to_string(others.calls)},
+       {"other_client_wakeups", std::to_string(others.wakeups)},
+       {"other_client_ms", ToMilliseconds(others.busy)},
+       {"max_tick_delay_ms", ToMilliseconds(lag)}});
 }
 
 auto Leader::Execute(Decisions decisions) -> void {
@@ -270,9 +308,14 @@
 
 auto Leader::SendOrder(http::Call call, StoreGateway::Done done) -> void {
   auto& loop = this->runtime.loop;
+  auto& busy = this->runtime.busy;
   this->worker_client.Send(
-      std::move(call), [&loop, done = std::move(done)](http::Reply reply) {
-        loop.PostBlocking([done, reply = std::move(reply)] { done(reply); });
+      std::move(call),
+      [&loop, &busy, done = std::move(done)](http::Reply reply) {
+        loop.PostBlocking([&busy, done, reply = std::move(reply)] {
+          const auto handling = busy.Measure(Duty::kWorkerReplies);
+          done(reply);
+        });
       });
 }
 
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -75,6 +75,8 @@
   auto PublishProgress(std::uint64_t number, Offset offset) -> void;
   auto DeleteExpiredJobs(const View& view, TimePoint now) -> void;
   auto ReportState(TimePoint now) -> void;
+  /// Logs what the processor time of this host was spent on.
+  auto ReportLoad() -> void;
 
   Runtime& runtime;
   StoreGateway& store;
--- a/apps/cell/runtime.h
+++ b/apps/cell/runtime.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 #include "base/core_loop.h"
 #include "base/metrics.h"
+#include "busy_time.h"
 #include "http/client.h"
 
 namespace shallotbank::cell {
@@ -15,6 +16,7 @@
   CoreLoop& loop;
   http::Client& client;
   Metrics& metrics;
+  BusyTime& busy;
   BootClock clock;
 };
 
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -88,9 +88,14 @@
 
 auto StoreGateway::SendDirect(http::Call call, Done done) -> void {
   auto& loop = this->runtime.loop;
+  auto& busy = this->runtime.busy;
   this->runtime.client.Send(
-      std::move(call), [&loop, done = std::move(done)](http::Reply reply) {
-        loop.PostBlocking([done, reply = std::move(reply)] { done(reply); });
+      std::move(call),
+      [&loop, &busy, done = std::move(done)](http::Reply reply) {
+        loop.PostBlocking([&busy, done, reply = std::move(reply)] {
+          const auto handling = busy.Measure(Duty::kStoreReplies);
+          done(reply);
+        });
       });
 }
 
--- a/libs/base/include/base/core_loop.h
+++ b/libs/base/include/base/core_loop.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <thread>
+#include <utility>
 
 #include "base/bounded_ring.h"
 #include "base/clock.h"
@@ -31,11 +32,17 @@
   /// work that remains in the queue.
   auto Run(Duration interval, const Work& tick) -> void;
   auto Stop() -> void { this->stopping = true; }
+  /// Returns the longest delay of a tick since the last call. Must be called on
+  /// the thread of the loop.
+  auto TakeMaxTickDelay() -> Duration {
+    return std::exchange(this->max_tick_delay, Duration::zero());
+  }
 
  private:
   auto RunDeferredWork() -> void;
 
   BoundedRing<Work> ring;
+  Duration max_tick_delay{};
   std::deque<Work> deferred_work;  // Posted on the loop's own thread.
   std::atomic<std::thread::id> thread;
   std::atomic<bool> stopping{false};
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -46,6 +46,7 @@
   kTaskAssigned = 4105,
   kStepWaits = 4106,
   kSchedulerState = 4107,
+  kLeaderLoad = 4108,
   kMinionEjected = 5001,
   kMinionRestored = 5002,
   kRequestRefused = 5101,
--- a/libs/base/src/core_loop.cc
+++ b/libs/base/src/core_loop.cc
@@ -26,6 +26,8 @@
   while (!this->stopping) {
     const auto now = clock.Now();
     if (now >= next_tick) {
+      this->max_tick_delay =
+          std::max<Duration>(this->max_tick_delay, now - next_tick);
       tick();
       next_tick = clock.Now() + interval;
     }
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -63,6 +63,7 @@
     EventEntry{Event::kTaskAssigned, Severity::kInfo, "task-assigned"},
     EventEntry{Event::kStepWaits, Severity::kInfo, "step-waits"},
     EventEntry{Event::kSchedulerState, Severity::kInfo, "scheduler-state"},
+    EventEntry{Event::kLeaderLoad, Severity::kInfo, "leader-load"},
     EventEntry{Event::kMinionEjected, Severity::kWarning, "minion-ejected"},
     EventEntry{Event::kMinionRestored, Severity::kInfo, "minion-restored"},
     EventEntry{Event::kRequestRefused, Severity::kInfo, "request-refused"},
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,6 +49,14 @@
   Duration max_connection_age = std::chrono::seconds(60);
 };
 
+/// Work of a client's thread since its start.
+struct ClientStats {
+  std::uint64_t calls = 0;  ///< Ended, successfully or not.
+  /// Returns from waiting for sockets, timers or new calls.
+  std::uint64_t wakeups = 0;
+  Duration busy{};  ///< Time outside of waiting.
+};
+
 /// Sends calls through libcurl on a dedicated thread. Nothing is retried
 /// except a call on a reused connection that was found closed before a byte of
 /// the request was sent.
@@ -65,6 +74,8 @@
   auto Send(Call call, Done done) -> void;
   /// Waits for the reply. Must not be called on the client's thread.
   auto SendAndWait(Call call) -> Reply;
+  /// May be called on any thread.
+  auto Stats() const -> ClientStats;
 
  private:
   class Impl;
--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <deque>
 #include <future>
@@ -69,6 +70,10 @@
     ::curl_multi_wakeup(this->multi);
   }
 
+  auto Stats() const -> ClientStats {
+    return {this->calls, this->wakeups, Duration(this->busy_nanoseconds)};
+  }
+
  private:
   /// Enqueues `call`, or leaves it and returns the reason.
   auto TryEnqueue(std::unique_ptr<CurlCall>& call) -> const char* {
@@ -85,13 +90,17 @@
   }
 
   auto Run() -> void {
+    auto woken_at = SystemClock().Now();
     while (this->StartQueued()) {
       int running = 0;
       ::curl_multi_perform(this->multi, &running);
       this->FinishCompleted();
       this->FailExpired();
+      this->busy_nanoseconds += (SystemClock().Now() - woken_at).count();
       ::curl_multi_poll(this->multi, nullptr, 0, this->PollMilliseconds(),
                         nullptr);
+      woken_at = SystemClock().Now();
+      this->wakeups++;
     }
     this->FailAll();
   }
@@ -158,6 +167,7 @@
     this->deadlines.erase({call->Deadline(), handle});
     ::curl_multi_remove_handle(this->multi, handle);
     this->DecrementCallCount();
+    this->calls++;
     return call;
   }
 
@@ -203,6 +213,9 @@
   std::deque<std::unique_ptr<CurlCall>> queue;
   std::size_t call_count = 0;  ///< Queued and active.
   bool stopping = false;
+  std::atomic<std::uint64_t> calls{0};
+  std::atomic<std::uint64_t> wakeups{0};
+  std::atomic<Duration::rep> busy_nanoseconds{0};
   std::thread thread;
 };
 
@@ -214,6 +227,10 @@
   this->impl->Send(std::move(call), std::move(done));
 }
 
+auto Client::Stats() const -> ClientStats {
+  return this->impl->Stats();
+}
+
 auto Client::SendAndWait(Call call) -> Reply {
   std::promise<Reply> promise;
   auto future = promise.get_future();
