--- /dev/null
+++ b/libs/http/tests/client_scale_test.cc
@@ -0,0 +1,97 @@
+#include <algorithm>
+#include <future>
+#include <mutex>
+#include <ostream>
+#include <thread>
+#include <vector>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/client.h"
+#include "http/server.h"
+
+namespace shallotbank::http {
+namespace {
+
+/// Long polls that the leader of a cell of 350 workers keeps open.
+constexpr int kOpenPolls = 350;
+constexpr int kMeasuredCalls = 300;
+constexpr auto kPollTime = std::chrono::seconds(60);
+
+struct Case {
+  const char* name;
+  /// Calls that are in flight at a time.
+  int calls_at_once;
+};
+
+auto operator<<(std::ostream& out, const Case& c) -> std::ostream& {
+  return out << c.name;
+}
+
+const std::vector<Case> kCases{{"one call", 1}, {"ten calls", 10}};
+
+auto MakeCall(std::uint16_t port, const std::string& path) -> Call {
+  Call call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + path;
+  call.timeout = kPollTime;
+  return call;
+}
+
+/// Returns the median busy time of the client for rounds of `calls_at_once`
+/// calls.
+auto MeasureRound(Client& client, std::uint16_t port, int calls_at_once)
+    -> Duration {
+  std::vector<Duration> rounds;
+  for (int i = 0; i < kMeasuredCalls / calls_at_once; i++) {
+    const auto before = client.Stats().busy;
+    std::vector<std::promise<Reply>> replies(
+        static_cast<std::size_t>(calls_at_once));
+    for (auto& reply : replies) {
+      client.Send(MakeCall(port, "/order"), [&reply](Reply received) {
+        reply.set_value(std::move(received));
+      });
+    }
+    for (auto& reply : replies) {
+      BOOST_REQUIRE_EQUAL(reply.get_future().get().status, 200);
+    }
+    rounds.push_back(client.Stats().busy - before);
+  }
+  const auto middle = rounds.begin() + std::ssize(rounds) / 2;
+  std::nth_element(rounds.begin(), middle, rounds.end());
+  return *middle;
+}
+
+// Guards against a client whose work for each call grows with the open calls.
+BOOST_DATA_TEST_CASE(CostOfACallDoesNotGrowWithOpenCalls, kCases, c) {
+  std::mutex mutex;
+  std::vector<Responder> held;
+  ServerOptions options;
+  options.keep_alive_timeout = kPollTime;
+  Server server(options, [&](const Request& request, Responder responder) {
+    if (request.path == "/order") {
+      responder.Send({200, {}, "ok"});
+      return;
+    }
+    const std::lock_guard lock(mutex);
+    held.push_back(std::move(responder));
+  });
+  BOOST_REQUIRE(server.Start());
+  Client client({.max_connections_per_host = kOpenPolls * 2});
+  const auto alone = MeasureRound(client, server.Port(), c.calls_at_once);
+  for (int i = 0; i < kOpenPolls; i++) {
+    client.Send(MakeCall(server.Port(), "/poll"), [](const Reply&) {});
+  }
+  while (server.OpenRequests() < kOpenPolls) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  const auto beside_polls =
+      MeasureRound(client, server.Port(), c.calls_at_once);
+  BOOST_TEST_MESSAGE(c.name << ": " << alone.count() / 1000 << " us alone, "
+                            << beside_polls.count() / 1000 << " us beside "
+                            << kOpenPolls << " polls");
+  BOOST_TEST(beside_polls.count() < 2 * alone.count());
+}
+
+}  // namespace
+}  // namespace shallotbank::http
