Make the cost of an HTTP call independent of the open calls

Cause: the client drove libcurl with curl_multi_perform and curl_multi_poll. Both visit every open call on each wakeup, with a system call for each; a leader keeps a long poll open to every worker, so each answer cost 350 visits. Work for each event grew with the number of workers, and so did the number of events.

Fix: epoll and curl_multi_socket_action, which touch only the sockets that are ready and the timers that are due. A new call wakes the thread only if no other is queued.

--- a/libs/http/src/client.cc
+++ b/libs/http/src/client.cc
@@ -14,13 +14,14 @@
 #include <curl/curl.h>
 
 #include "curl_call.h"
+#include "socket_events.h"
 #include "suspect_hosts.h"
 
 namespace shallotbank::http {
 namespace {
 
-/// libcurl wakes up for its own timers; this only bounds a lost wakeup.
-constexpr int kPollMilliseconds = 1000;
+/// Sockets, timers and new calls end a wait; this only bounds a lost wakeup.
+constexpr std::chrono::milliseconds kMaxWait(1000);
 
 constexpr long kMaxCachedConnections = 4096;
 
@@ -42,6 +43,10 @@
                         this->options.max_connections_per_host);
     ::curl_multi_setopt(this->multi, CURLMOPT_MAXCONNECTS,
                         kMaxCachedConnections);
+    ::curl_multi_setopt(this->multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    ::curl_multi_setopt(this->multi, CURLMOPT_SOCKETDATA, this);
+    ::curl_multi_setopt(this->multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    ::curl_multi_setopt(this->multi, CURLMOPT_TIMERDATA, this);
     this->thread = std::thread([this] { this->Run(); });
   }
 
@@ -50,7 +55,7 @@
       std::lock_guard lock(this->mutex);
       this->stopping = true;
     }
-    ::curl_multi_wakeup(this->multi);
+    this->events.Wake();
     this->thread.join();
     ::curl_multi_cleanup(this->multi);
   }
@@ -62,12 +67,14 @@
     const auto deadline = SystemClock().Now() + call.timeout;
     auto added =
         std::make_unique<CurlCall>(std::move(call), std::move(done), deadline);
-    const auto* const refusal = this->TryEnqueue(added);
+    const auto [refusal, is_first] = this->TryEnqueue(added);
     if (refusal != nullptr) {
       added->Fail(refusal);
       return;
     }
-    ::curl_multi_wakeup(this->multi);
+    if (is_first) {
+      this->events.Wake();
+    }
   }
 
   auto Stats() const -> ClientStats {
@@ -75,36 +82,70 @@
   }
 
  private:
+  struct Enqueued {
+    const char* refusal = nullptr;
+    bool is_first = false;  ///< The queue was empty.
+  };
+
+  static auto OnSocket(CURL*,
+                       curl_socket_t socket,
+                       int interest,
+                       void* self,
+                       void*) -> int {
+    static_cast<Impl*>(self)->events.Update(socket, interest);
+    return 0;
+  }
+
+  static auto OnTimer(CURLM*, long milliseconds, void* self) -> int {
+    static_cast<Impl*>(self)->timer_due =
+        milliseconds < 0
+            ? TimePoint::max()
+            : SystemClock().Now() + std::chrono::milliseconds(milliseconds);
+    return 0;
+  }
+
   /// Enqueues `call`, or leaves it and returns the reason.
-  auto TryEnqueue(std::unique_ptr<CurlCall>& call) -> const char* {
+  auto TryEnqueue(std::unique_ptr<CurlCall>& call) -> Enqueued {
     std::lock_guard lock(this->mutex);
     if (this->stopping) {
-      return "the client is shut down";
+      return {"the client is shut down"};
     }
     if (this->call_count >= this->options.max_queued_calls) {
-      return "the queue of calls is full";
+      return {"the queue of calls is full"};
     }
     this->call_count++;
     this->queue.push_back(std::move(call));
-    return nullptr;
+    return {nullptr, this->queue.size() == 1};
   }
 
   auto Run() -> void {
     auto woken_at = SystemClock().Now();
     while (this->StartQueued()) {
-      int running = 0;
-      ::curl_multi_perform(this->multi, &running);
+      this->RunDueTimer();
       this->FinishCompleted();
       this->FailExpired();
       this->busy_nanoseconds += (SystemClock().Now() - woken_at).count();
-      ::curl_multi_poll(this->multi, nullptr, 0, this->PollMilliseconds(),
-                        nullptr);
+      const auto ready = this->events.Wait(this->MaxWait());
       woken_at = SystemClock().Now();
       this->wakeups++;
+      int running = 0;
+      for (const auto& [socket, events] : ready) {
+        ::curl_multi_socket_action(this->multi, socket, events, &running);
+      }
     }
     this->FailAll();
   }
 
+  /// Also begins the calls that were added since the last time.
+  auto RunDueTimer() -> void {
+    if (SystemClock().Now() < this->timer_due) {
+      return;
+    }
+    this->timer_due = TimePoint::max();
+    int running = 0;
+    ::curl_multi_socket_action(this->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  }
+
   /// False once the client is shut down.
   auto StartQueued() -> bool {
     std::deque<std::unique_ptr<CurlCall>> taken;
@@ -151,14 +192,17 @@
     }
   }
 
-  auto PollMilliseconds() const -> int {
-    if (this->deadlines.empty()) {
-      return kPollMilliseconds;
+  auto MaxWait() const -> std::chrono::milliseconds {
+    auto until = this->timer_due;
+    if (!this->deadlines.empty()) {
+      until = std::min(until, this->deadlines.begin()->first);
+    }
+    const auto now = SystemClock().Now();
+    if (until >= now + kMaxWait) {
+      return kMaxWait;
     }
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-        this->deadlines.begin()->first - SystemClock().Now());
-    return static_cast<int>(
-        std::clamp<std::int64_t>(left.count(), 0, kPollMilliseconds));
+    return std::max(std::chrono::ceil<std::chrono::milliseconds>(until - now),
+                    std::chrono::milliseconds(0));
   }
 
   /// Removes a call from libcurl and from `active` and `deadlines`.
@@ -206,6 +250,8 @@
 
   const ClientOptions options;
   SuspectHosts suspects;  ///< Used by the client's thread only, like `active`.
+  SocketEvents events;
+  TimePoint timer_due = TimePoint::max();  ///< Next time that libcurl needs.
   CURLM* multi = nullptr;
   std::unordered_map<CURL*, std::unique_ptr<CurlCall>> active;
   std::set<std::pair<TimePoint, CURL*>> deadlines;  ///< Not yet passed.
