Let the largest host lead

What callers saw: on cells with hosts of different sizes most short jobs ended late or not at all while larger hosts were idle, gangs waited for members whose starts had not been sent, and the leader was released as isolated again and again.

Cause: hosts were compared only by their distance from the store. A leader sends every order to every worker and every progress update to every host, so one with a 10 Mbit/s link or 0.12 of a core limits the whole cell. The class of fault: a role is given away without regard to what it needs.

Fix: hosts announce their processor share and link. A leader releases leadership to a much larger peer, and a host that knows a much larger one claims 0.3 s later; nearness to the store decides among hosts of about the same size. If no larger host takes over, the same host leads on for 20 s.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -47,6 +47,13 @@
 /// store once.
 constexpr std::chrono::milliseconds kMinLatencyGain(3);
 constexpr std::chrono::seconds kMinLeadershipTime(3);
+/// A host that knows a much larger one waits this much longer before it claims
+/// leadership, so that the larger one wins from any failure domain.
+constexpr std::chrono::milliseconds kSmallHostDelay(300);
+constexpr std::chrono::milliseconds kClaimDelayInterval(100);
+/// If no larger host takes over after a release, this host leads for at least
+/// this time before it releases leadership for that reason again.
+constexpr std::chrono::seconds kSizeYieldInterval(20);
 constexpr std::size_t kMinLatencySamples = 2;
 /// Part of the grace period that is reserved for closing connections and
 /// exiting.
@@ -344,6 +351,10 @@
   this->election.SetLeaderGone(!leader_process.empty() &&
                                leader_process !=
                                    this->election.LeaderProcess());
+  const auto& leader_host = this->election.LeaderHost();
+  if (!leader_host.empty() && leader_host != this->settings.host) {
+    this->yielded_to_larger_at = TimePoint();
+  }
   if (this->election.IsLeader()) {
     if (is_isolated) {
       // A leader depends on the other hosts for most of its work.
@@ -352,10 +363,17 @@
       // This host reaches the store only through peers, so any of them is a
       // better leader.
       this->ReleaseLeadership("store-out-of-reach", now);
+    } else if (this->ShouldYieldToLargerPeer(now)) {
+      this->yielded_to_larger_at = now;
+      this->ReleaseLeadership("small-host", now);
     } else if (this->IsPeerNearerToStore(now)) {
       this->ReleaseLeadership("far-from-store", now);
     }
   }
+  if (now >= this->next_claim_delay_update) {
+    this->next_claim_delay_update = now + kClaimDelayInterval;
+    this->UpdateClaimDelay(now);
+  }
   if (const auto append = this->election.NextAppend(now)) {
     this->SendLeaderRecord(*append);
   }
@@ -370,8 +388,16 @@
   this->election.Yield(now);
 }
 
+auto CellDaemon::ShouldYieldToLargerPeer(TimePoint now) const -> bool {
+  const bool has_tried_lately =
+      this->yielded_to_larger_at != TimePoint() &&
+      now - this->yielded_to_larger_at < kSizeYieldInterval;
+  return now - this->leading_since > kMinLeadershipTime && !has_tried_lately &&
+         this->peers.HasLargerPeer(this->settings.capacity, now);
+}
+
 auto CellDaemon::IsPeerNearerToStore(TimePoint now) const -> bool {
-  const auto best = this->peers.BestStoreLatency(now);
+  const auto best = this->peers.BestStoreLatency(this->settings.capacity, now);
   return this->store_latency && best &&
          now - this->leading_since > kMinLeadershipTime &&
          this->latency_samples.size() >= kMinLatencySamples &&
@@ -385,10 +411,16 @@
       std::chrono::ceil<std::chrono::microseconds>(latency));
   this->store_latency = *std::min_element(this->latency_samples.begin(),
                                           this->latency_samples.end());
-  const auto capped_latency =
-      std::min<Duration>(*this->store_latency, kMaxNormalLatency);
-  this->election.SetClaimDelay(capped_latency * kClaimDelayFactor +
-                               ClaimSpreadOf(this->settings.host));
+}
+
+auto CellDaemon::UpdateClaimDelay(TimePoint now) -> void {
+  const auto capped_latency = std::min<Duration>(
+      this->store_latency.value_or(kMaxNormalLatency), kMaxNormalLatency);
+  this->election.SetClaimDelay(
+      capped_latency * kClaimDelayFactor + ClaimSpreadOf(this->settings.host) +
+      (this->peers.HasLargerPeer(this->settings.capacity, now)
+           ? Duration(kSmallHostDelay)
+           : Duration()));
 }
 
 auto CellDaemon::TickLeader(TimePoint now) -> void {
@@ -453,9 +485,10 @@
   request.topic = kHostsTopic;
   adapter::KeyedRecord record{this->settings.host, std::nullopt};
   if (!this->is_stopping) {
-    record.value = EncodeAnnouncement(
-        {this->settings.peers.Text(), this->process,
-         std::to_string(now.time_since_epoch().count()), this->store_latency});
+    record.value =
+        EncodeAnnouncement({this->settings.peers.Text(), this->process,
+                            std::to_string(now.time_since_epoch().count()),
+                            this->store_latency, this->settings.capacity});
   }
   request.records = {record};
   this->store.Send(adapter::MakeAppendCall(this->settings.store, request),
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -57,6 +57,8 @@
   /// Releases leadership; `reason` is logged.
   auto ReleaseLeadership(const std::string& reason, TimePoint now) -> void;
   auto IsPeerNearerToStore(TimePoint now) const -> bool;
+  auto ShouldYieldToLargerPeer(TimePoint now) const -> bool;
+  auto UpdateClaimDelay(TimePoint now) -> void;
   auto BeginStop() -> void;
   /// Stores records that a peer sends to this host as the collector.
   auto HandleRecords(const http::Request& request, http::Responder responder)
@@ -120,6 +122,8 @@
   boost::circular_buffer<std::chrono::microseconds> latency_samples{
       kMaxLatencySamples};
   TimePoint leading_since;
+  TimePoint yielded_to_larger_at;
+  TimePoint next_claim_delay_update;
   /// When a read of the jobs topic last reached its end.
   TimePoint jobs_caught_up_at;
   bool is_stopping = false;
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "cell/host_capacity.h"
 
 namespace shallotbank::cell {
 
@@ -20,6 +21,7 @@
   std::string sign;  ///< Unique per announcement.
   /// Round-trip time from the host to the store; empty until it was measured.
   std::optional<std::chrono::microseconds> store_latency;
+  HostCapacity capacity;
 };
 
 auto EncodeAnnouncement(const Announcement& announcement) -> std::string;
@@ -54,10 +56,14 @@
                   const std::string& process,
                   TimePoint now) const -> std::string;
 
-  /// Returns the shortest store round trip among the responding peers.
-  auto BestStoreLatency(TimePoint now) const
+  /// Returns the shortest store round trip among the responding peers that are
+  /// not much smaller than `own`.
+  auto BestStoreLatency(const HostCapacity& own, TimePoint now) const
       -> std::optional<std::chrono::microseconds>;
 
+  /// Returns whether a responding peer is much larger than `own`.
+  auto HasLargerPeer(const HostCapacity& own, TimePoint now) const -> bool;
+
   /// Returns whether more than half of the hosts with current announcements do
   /// not respond.
   auto IsIsolated(TimePoint now) const -> bool;
@@ -68,6 +74,9 @@
 
  private:
   struct Peer;
+  /// Whether the peer's announcement is current and no call to it has failed
+  /// since.
+  static auto IsResponding(const Peer& peer, TimePoint now) -> bool;
   auto IsReachable(const Peer& peer, TimePoint now) const -> bool;
 
   struct Peer {
@@ -79,6 +88,7 @@
     int unanswered_failures = 0;
     bool is_seed = false;
     std::optional<std::chrono::microseconds> store_latency;
+    HostCapacity capacity;
   };
 
   const std::string own_host;
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -26,7 +26,9 @@
 auto EncodeAnnouncement(const Announcement& announcement) -> std::string {
   nlohmann::json json{{"endpoint", announcement.endpoint},
                       {"process", announcement.process},
-                      {"sign", announcement.sign}};
+                      {"sign", announcement.sign},
+                      {"cores_milli", announcement.capacity.cores_milli},
+                      {"link_kbits", announcement.capacity.link_kbits}};
   if (announcement.store_latency) {
     json["store_latency_us"] = announcement.store_latency->count();
   }
@@ -41,6 +43,8 @@
     announcement.endpoint = json.at("endpoint").get<std::string>();
     announcement.process = json.value("process", "");
     announcement.sign = json.value("sign", "");
+    announcement.capacity = {json.value("cores_milli", std::int64_t{0}),
+                             json.value("link_kbits", std::int64_t{0})};
     const auto latency = json.find("store_latency_us");
     if (latency != json.end()) {
       announcement.store_latency =
@@ -83,6 +87,7 @@
       peer.announcement_bytes = bytes;
       peer.announced_at = now;
       peer.store_latency = announcement->store_latency;
+      peer.capacity = announcement->capacity;
     }
   }
   std::erase_if(this->peers, [now](const auto& entry) {
@@ -131,21 +136,35 @@
              : "";
 }
 
-auto PeerDirectory::BestStoreLatency(TimePoint now) const
+auto PeerDirectory::IsResponding(const Peer& peer, TimePoint now) -> bool {
+  return peer.announced_at != TimePoint() &&
+         now - peer.announced_at < kAnnouncementTimeout &&
+         (peer.failures == 0 || peer.announced_at > peer.failed_at);
+}
+
+auto PeerDirectory::BestStoreLatency(const HostCapacity& own,
+                                     TimePoint now) const
     -> std::optional<std::chrono::microseconds> {
   std::optional<std::chrono::microseconds> best;
   for (const auto& [endpoint, peer] : this->peers) {
-    const bool is_usable = peer.announced_at != TimePoint() &&
-                           now - peer.announced_at < kAnnouncementTimeout &&
-                           peer.failures == 0;
-    if (is_usable && peer.store_latency &&
-        (!best || *peer.store_latency < *best)) {
+    const bool is_usable = IsResponding(peer, now) && peer.store_latency &&
+                           !IsMuchLarger(own, peer.capacity);
+    if (is_usable && (!best || *peer.store_latency < *best)) {
       best = peer.store_latency;
     }
   }
   return best;
 }
 
+auto PeerDirectory::HasLargerPeer(const HostCapacity& own, TimePoint now) const
+    -> bool {
+  return std::any_of(this->peers.begin(), this->peers.end(),
+                     [&own, now](const auto& entry) {
+                       return IsResponding(entry.second, now) &&
+                              IsMuchLarger(entry.second.capacity, own);
+                     });
+}
+
 auto PeerDirectory::IsIsolated(TimePoint now) const -> bool {
   std::size_t current = 0;
   std::size_t unresponsive = 0;
