Stop a gang as soon as a member is refused

A start without an answer that is then refused is stopped and checked by a poll before it counts as lost, and only then were the other members stopped.

The whole gang is now stopped with the refusal.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -280,6 +280,9 @@
       reply.outcome != OrderOutcome::kOtherIncarnation) {
     task->stop_requested = true;
     task->next_send = now;
+    if (step.spec->is_gang) {
+      this->AbandonGang(step);
+    }
     return;
   }
   this->OnRunLost(*task, "refused");
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
+#include <set>
 
 #include "scheduler_fixture.h"
 
@@ -391,5 +392,44 @@
   }
 }
 
+/// A cell with a gang of two, one member on each of two workers. No poll is in
+/// flight.
+struct StartedGangCell : SchedulerFixture {
+  StartedGangCell() {
+    this->AddWorker("w1", 4000);
+    this->AddWorker("w2", 4000);
+    this->scheduler.OnJob(this->Job("g", 2, 3000, true), {}, this->clock.Now());
+    this->starts = this->Starts();
+    BOOST_REQUIRE(this->starts.size() == 2);
+    this->AnswerPoll("w1");
+    this->AnswerPoll("w2");
+  }
+  auto Stopped() -> std::set<TaskId> {
+    std::set<TaskId> tasks;
+    for (const auto& stop : this->Decide().stops) {
+      tasks.insert(stop.task);
+    }
+    return tasks;
+  }
+  std::vector<StartOrder> starts;
+};
+
+// A member whose gang cannot become complete would wait alone until it fails.
+BOOST_AUTO_TEST_CASE(a_refused_member_stops_its_gang_at_once) {
+  for (const bool had_no_answer_before : {false, true}) {
+    BOOST_TEST_CONTEXT("no answer before: " << had_no_answer_before) {
+      StartedGangCell cell;
+      cell.Answer(cell.starts[0], OrderOutcome::kDone);
+      if (had_no_answer_before) {
+        cell.Answer(cell.starts[1], OrderOutcome::kNoAnswer);
+        cell.clock.Advance(milliseconds(600));
+        BOOST_TEST(cell.Decide().starts.size() == 1);
+      }
+      cell.Answer(cell.starts[1], OrderOutcome::kNoTicket);
+      BOOST_TEST(cell.Stopped().contains(cell.starts[0].task));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
