Don't start a member of a gang that has ended

When a member ended other than as done, the others were left as they were, so a start without an answer was sent again for a gang run that no longer existed, and would wait alone.

Every such end now stops the other members. The test failed before with 'check decisions.starts.empty() has failed' for each kind of end.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -181,6 +181,9 @@
                                    {"run", std::to_string(task.persistent.run)},
                                    {"worker", worker.report.id.Text()},
                                    {"how", kNames[static_cast<int>(how)]}});
+  if (step.spec->is_gang) {
+    this->AbandonGang(step);
+  }
   if (how == EndKind::kFailed) {
     task.failed_workers.push_back(worker.report.id);
     this->RecordFailure(worker, job, now);
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -431,5 +431,24 @@
   }
 }
 
+// A start sent again after its gang has ended would wait alone.
+BOOST_AUTO_TEST_CASE(an_unanswered_member_is_not_started_after_its_gang_ended) {
+  for (const auto how : {EndKind::kFailed, EndKind::kStopped, EndKind::kLapsed,
+                         EndKind::kBroken, EndKind::kAlone}) {
+    BOOST_TEST_CONTEXT("how: " << static_cast<int>(how)) {
+      StartedGangCell cell;
+      cell.Answer(cell.starts[0], OrderOutcome::kDone);
+      cell.Answer(cell.starts[1], OrderOutcome::kNoAnswer);
+      cell.AnswerPoll(cell.starts[0].target.worker.Text(), {},
+                      {Ended(cell.starts[0], how, 1)});
+      cell.clock.Advance(milliseconds(600));
+      const auto decisions = cell.Decide();
+      BOOST_TEST(decisions.starts.empty());
+      BOOST_REQUIRE(decisions.stops.size() == 1);
+      BOOST_TEST(decisions.stops[0].task == cell.starts[1].task);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
