Stop a gang if a start stays unconfirmed for 2 s

Starts without an answer are sent again until they have one, while the members that did start wait at their workers, which end them after 4 s.

After 2 s the gang is now stopped and placed again. The test failed before with 'check is_stopped has failed', for starts without an answer and for starts refused as late.

--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -39,7 +39,8 @@
   /// A start order got no answer and may still take effect later, so a refusal
   /// of a repeated order proves nothing.
   bool is_start_uncertain = false;
-  TimePoint confirmed_at;  ///< When the worker confirmed the start.
+  TimePoint first_start_sent_at;  ///< Of the latest run; unset before it.
+  TimePoint confirmed_at;         ///< When the worker confirmed the start.
   bool stop_requested = false;
   bool is_stop_in_flight = false;
   bool is_stop_answered = false;
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds kRefusalDelay{50};
 /// How long a worker that refused as unhealthy gets no new tasks.
 constexpr std::chrono::milliseconds kUnhealthyQuarantine{1000};
+/// A gang is stopped if a member's start is not confirmed within this time.
+/// Workers let a member wait 4 s for the others; the rest of that time is for
+/// the stop orders.
+constexpr std::chrono::milliseconds kGangStartTimeout{2000};
 
 auto ToMilliseconds(Duration time) -> std::string {
   return std::to_string(
@@ -54,6 +58,7 @@
   task.is_start_in_flight = false;
   task.is_stop_in_flight = false;
   task.is_start_uncertain = false;
+  task.first_start_sent_at = TimePoint();
   task.ticket.clear();
   const auto ticket = step.advice.tickets.find(worker.report.id);
   if (ticket != step.advice.tickets.end()) {
@@ -257,10 +262,15 @@
       this->ConfirmStart(*task, now);
       return;
     case OrderOutcome::kLate:
-      return;  // Resent with a later lease.
     case OrderOutcome::kNoAnswer:
-      task->is_start_uncertain = true;
-      task->next_send = now + kResendDelay;
+      if (reply.outcome == OrderOutcome::kNoAnswer) {
+        task->is_start_uncertain = true;
+        task->next_send = now + kResendDelay;
+      }  // Otherwise resent at once with a later lease.
+      if (step.spec->is_gang &&
+          now - task->first_start_sent_at >= kGangStartTimeout) {
+        this->AbandonGang(step);
+      }
       return;
     case OrderOutcome::kNoTicket:
       step.advice.tickets.erase(worker.report.id);
@@ -344,6 +354,9 @@
   order.checkpoint = task.persistent.checkpoint;
   order.ticket = task.ticket;
   task.is_start_in_flight = true;
+  if (task.first_start_sent_at == TimePoint()) {
+    task.first_start_sent_at = now;
+  }
   decisions.starts.push_back(std::move(order));
 }
 
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -450,5 +450,30 @@
   }
 }
 
+// Members wait 4 s for each other; stopped before that, the gang starts anew.
+BOOST_AUTO_TEST_CASE(a_gang_with_an_unanswered_member_is_stopped_in_time) {
+  for (const auto outcome : {OrderOutcome::kNoAnswer, OrderOutcome::kLate}) {
+    BOOST_TEST_CONTEXT("outcome: " << static_cast<int>(outcome)) {
+      StartedGangCell cell;
+      const auto begin = cell.clock.Now();
+      cell.Answer(cell.starts[0], OrderOutcome::kDone);
+      auto pending = std::vector{cell.starts[1]};
+      bool is_stopped = false;
+      while (!is_stopped && cell.clock.Now() - begin < seconds(3)) {
+        cell.clock.Advance(milliseconds(370));
+        for (const auto& order : pending) {
+          cell.Answer(order, outcome);
+        }
+        const auto decisions = cell.Decide();
+        pending = decisions.starts;
+        for (const auto& stop : decisions.stops) {
+          is_stopped |= stop.task == cell.starts[0].task;
+        }
+      }
+      BOOST_TEST(is_stopped);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
