Send the stop of an abandoned run at once

The pause after an unanswered start also delayed the first stop of that run, by up to 0.5 s. The test failed before with 'check cell.Decide().stops.size() == 1 has failed [0 != 1]'.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -226,7 +226,10 @@
     }
     return;
   }
-  task.stop_requested = true;
+  if (!task.stop_requested) {
+    task.stop_requested = true;
+    task.next_send = TimePoint();
+  }
 }
 
 auto Scheduler::Core::AbandonGang(LiveStep& step) -> void {
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -475,5 +475,14 @@
   }
 }
 
+// The pause after an unanswered start must not delay the stop of the run.
+BOOST_AUTO_TEST_CASE(
+    an_unanswered_start_of_a_cancelled_job_is_stopped_at_once) {
+  StartedTaskCell cell;
+  cell.Answer(cell.order, OrderOutcome::kNoAnswer);
+  cell.scheduler.OnCancel(JobId("a"), cell.clock.Now());
+  BOOST_TEST(cell.Decide().stops.size() == 1);
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
