Count a completion that is reported after its run was given up

An end is matched with the run that the leader believes to be at the worker. If that run was given up, for example because its lease had lapsed, the end was skipped, but still acknowledged with the next poll, and the task ran again.

Such a completion now completes the task, wherever its latest run is, and that run is stopped. Ends other than done are still skipped. The test failed before with 'check (*DecodeState(cell.stored.at(JobId("a"))) == test_case.state) has failed' for all four cases of a completion.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -196,6 +196,48 @@
   }
 }
 
+auto Scheduler::Core::FindTaskOfJob(const TaskId& name) -> LiveTask* {
+  const auto& text = name.Text();
+  const auto found = this->jobs.find(JobId(text.substr(0, text.find('.'))));
+  if (found == this->jobs.end()) {
+    return nullptr;
+  }
+  for (auto& occurrence : found->second->occurrences) {
+    for (auto& step : occurrence.steps) {
+      if (!text.starts_with(step.name + '.')) {
+        continue;
+      }
+      for (auto& task : step.tasks) {
+        if (task.name == name) {
+          return &task;
+        }
+      }
+    }
+  }
+  return nullptr;
+}
+
+auto Scheduler::Core::OnLateCompletion(const TaskId& name, int run) -> void {
+  auto* task = this->FindTaskOfJob(name);
+  if (task == nullptr || run > task->persistent.run) {
+    return;
+  }
+  auto& step = *task->step;
+  if (step.spec->is_long_running || IsFinal(step.job->state) ||
+      task->persistent.phase == TaskPhase::kDone) {
+    return;
+  }
+  const auto complete = [this](LiveTask& completed) {
+    this->MarkDone(completed);
+    this->AbandonRun(completed);
+  };
+  if (step.spec->is_gang) {
+    std::for_each(step.tasks.begin(), step.tasks.end(), complete);
+  } else {
+    complete(*task);
+  }
+}
+
 auto Scheduler::Core::OnRunLost(LiveTask& task, const char* reason) -> void {
   auto& step = *task.step;
   this->AddNote(Event::kTaskLost, {{"task", task.name.Text()},
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -134,6 +134,9 @@
                   const std::string& checkpoint,
                   LiveWorker& worker,
                   TimePoint now) -> void;
+  /// Handles the completion of a run that was given up, for example because
+  /// its lease had lapsed.
+  auto OnLateCompletion(const TaskId& name, int run) -> void;
   /// Returns the task to waiting after a run that never started or was lost.
   auto OnRunLost(LiveTask& task, const char* reason) -> void;
   auto MarkDone(LiveTask& task) -> void;
@@ -151,6 +154,8 @@
                  Decisions& decisions) -> void;
   auto FindTask(const WorkerId& worker, const TaskId& name, int run)
       -> LiveTask*;
+  /// Returns the task wherever its latest run is.
+  auto FindTaskOfJob(const TaskId& name) -> LiveTask*;
 
   // Defined in workers.cc.
   auto GetOrAddWorker(const WorkerId& id) -> LiveWorker&;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -205,6 +205,8 @@
         this->UpdatePace(worker, *task, kFullPercent, now);
       }
       this->OnRunEnded(*task, end.how, end.checkpoint, worker, now);
+    } else if (task == nullptr && end.how == EndKind::kDone) {
+      this->OnLateCompletion(end.task, end.run);
     }
   }
   for (const auto& running : reply.running) {
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -484,5 +484,71 @@
   BOOST_TEST(cell.Decide().stops.size() == 1);
 }
 
+struct LateCompletionCase {
+  const char* name;
+  EndKind how;
+  bool is_gang;
+  int decisions;   ///< Made between the loss of the run and the late end.
+  bool is_stored;  ///< The assignment of the next run.
+  JobState state;
+  std::size_t stops;  ///< Of the next run.
+};
+
+// A completion that a worker reports only after its run was given up still
+// counts: it will be acknowledged, so the task must not run again.
+BOOST_AUTO_TEST_CASE(a_completion_of_a_run_that_was_given_up) {
+  const LateCompletionCase cases[] = {
+      {"the task waits", EndKind::kDone, false, 0, false, JobState::kCompleted,
+       0},
+      {"the next run is being stored", EndKind::kDone, false, 1, false,
+       JobState::kCompleted, 0},
+      {"the next run was started", EndKind::kDone, false, 2, true,
+       JobState::kCompleted, 1},
+      {"a member of a gang that waits", EndKind::kDone, true, 0, false,
+       JobState::kCompleted, 0},
+      {"stopped, and the task waits", EndKind::kStopped, false, 0, false,
+       JobState::kRunning, 0},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      SchedulerFixture cell;
+      cell.AddWorker("w1");
+      cell.scheduler.OnJob(cell.Job("a", 1, 1000, test_case.is_gang), {},
+                           cell.clock.Now());
+      const auto starts = cell.Starts();
+      BOOST_REQUIRE(starts.size() == 1);
+      cell.Answer(starts[0], OrderOutcome::kDone);
+      cell.Decide();
+      cell.Store();
+      cell.scheduler.OnPollReply(cell.PollOrderFor("w1"), {}, cell.clock.Now(),
+                                 cell.clock.Now());
+      cell.clock.Advance(seconds(7));
+      cell.Decide();  // Gives up the run.
+      cell.Store();
+      cell.AddWorker("w2");
+      for (int i = 0; i < test_case.decisions; i++) {
+        const auto decisions = cell.Decide();
+        if (decisions.batch && test_case.is_stored) {
+          cell.Store();
+        }
+      }
+      cell.AnswerPoll("w1", {}, {Ended(starts[0], test_case.how, 1)});
+      std::size_t stops = 0;
+      std::size_t new_starts = 0;
+      for (int i = 0; i < 3; i++) {
+        const auto decisions = cell.Decide();
+        stops += decisions.stops.size();
+        new_starts += decisions.starts.size();
+        if (decisions.batch) {
+          cell.Store();
+        }
+      }
+      BOOST_TEST((*DecodeState(cell.stored.at(JobId("a"))) == test_case.state));
+      BOOST_TEST(stops == test_case.stops);
+      BOOST_TEST((new_starts > 0) == (test_case.how != EndKind::kDone));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
