Await the poll in flight before a lease counts as lapsed

A leader short of processor time can reach the end of a lease while the answer to a poll sent before waits in its own process. The runs were given up although that answer listed their completions. The answer or the timeout of such a poll is now awaited. The test failed before with 'check cell.Decide().notes.empty() has failed'.

--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -346,7 +346,13 @@
         worker.is_attached
             ? worker.ClockAtLeast(now) > worker.lease_end + kLeaseMargin
             : now > worker.unattached_lease_end;
-    if (is_lapsed && !worker.tasks.empty()) {
+    // The answer to a poll sent before may wait in this process and list
+    // completions.
+    const bool is_answer_due =
+        worker.is_poll_in_flight && worker.ClockAtLeast(worker.poll_sent_at) <=
+                                        worker.lease_end + kLeaseMargin;
+    if (is_lapsed && !(worker.is_attached && is_answer_due) &&
+        !worker.tasks.empty()) {
       std::vector<LiveTask*> lost;
       for (auto& [name, task] : worker.tasks) {
         lost.push_back(task);
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -550,5 +550,19 @@
   }
 }
 
+// The answer to a poll may wait in this process when the lease ends, and list
+// the completion of the run.
+BOOST_AUTO_TEST_CASE(a_lease_lapses_only_after_the_poll_in_flight_is_answered) {
+  StartedTaskCell cell;
+  cell.Answer(cell.order, OrderOutcome::kDone);
+  cell.AnswerPoll("w1", {RunningAs(cell.order)});
+  BOOST_REQUIRE(cell.Decide().polls.size() == 1);
+  cell.clock.Advance(seconds(7));
+  BOOST_TEST(cell.Decide().notes.empty());
+  cell.AnswerPoll("w1", {}, {Ended(cell.order, EndKind::kDone, 1)});
+  cell.Decide();
+  BOOST_TEST((cell.StateOf("a") == JobState::kCompleted));
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
