Don't delay the answer to a poll after an unanswered one

Such a poll renews no lease, so the worker may have been near the end of its lease by the time that a delayed answer allowed the next renewal: 2.5 s for the lost poll and 2 s for the next, of a lease of 6 s. The test failed before with 'check (second[0].wait == Milliseconds::zero()) has failed'.

--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -393,7 +393,8 @@
             worker.tasks.begin(), worker.tasks.end(),
             [](const auto& entry) { return entry.second->stop_requested; }) ||
         worker.has_orphaned_runs;
-    const bool is_quick = !worker.is_attached || is_storing || waits_for_stop;
+    const bool is_quick = !worker.is_attached || is_storing || waits_for_stop ||
+                          worker.unanswered_polls > 0;
     order.wait = is_quick ? Milliseconds::zero() : kMaxPollWait;
     if (waits_for_stop) {
       worker.next_poll = now + kPollDelay;
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -564,5 +564,21 @@
   BOOST_TEST((cell.StateOf("a") == JobState::kCompleted));
 }
 
+// A poll after an unanswered one renews no lease, so waiting for its answer
+// brings the lease closer to its end.
+BOOST_AUTO_TEST_CASE(a_poll_after_an_unanswered_one_does_not_wait) {
+  StartedTaskCell cell;
+  cell.Answer(cell.order, OrderOutcome::kDone);
+  cell.AnswerPoll("w1", {RunningAs(cell.order)});
+  const auto first = cell.Decide().polls;
+  BOOST_REQUIRE(first.size() == 1);
+  BOOST_TEST((first[0].wait > Milliseconds::zero()));
+  cell.scheduler.OnPollReply(first[0], {}, cell.clock.Now(), cell.clock.Now());
+  cell.clock.Advance(seconds(1));
+  const auto second = cell.Decide().polls;
+  BOOST_REQUIRE(second.size() == 1);
+  BOOST_TEST((second[0].wait == Milliseconds::zero()));
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
