--- a/libs/cell/benchmarks/cell_benchmark.cc
+++ b/libs/cell/benchmarks/cell_benchmark.cc
@@ -1,7 +1,9 @@
 // Measures the CPU cost of the scheduler against the size of the cell. Prints
 // one CSV line per size: workers, microseconds per started and completed task
 // (all steps in the core), microseconds per poll reply of an idle worker, and
-// bytes of stored progress per task.
+// bytes of stored progress per task. Then prints one line per scenario of a
+// grown cell: processor time per simulated second, starts per second and
+// waiting tasks at the end. With the argument "grown", prints only those.
 
 #include <chrono>
 #include <cstdio>
@@ -9,6 +11,7 @@
 
 #include "cell/records.h"
 #include "cell/scheduler.h"
+#include "simulated_cell.h"
 
 namespace {
 
@@ -121,14 +124,54 @@
   return cost;
 }
 
+auto MeasureGrown(const char* name, std::size_t backlog) -> void {
+  using std::chrono::microseconds;
+  constexpr std::size_t kWorkers = 350;
+  constexpr std::size_t kAdvisors = 31;
+  constexpr int kSeconds = 10;
+  SimulatedCell cell(
+      kWorkers, kAdvisors,
+      {{"quote", 99.9, 1, 3, 9900, milliseconds(800), false, 0, 1.5,
+        milliseconds(300),
+        AdvicePolicy{microseconds(9000), microseconds(130), milliseconds(2000)},
+        70},
+       {"report", 11.2, 1.5, 25, 6900, milliseconds(2200), false, 2, 4.0,
+        milliseconds(3000),
+        AdvicePolicy{microseconds(80'000), microseconds(1100),
+                     milliseconds(2000)},
+        45},
+       {"profile", 5.41, 1.2, 20, 18'000, milliseconds(4000), true, 1, 2.2,
+        milliseconds(1000),
+        AdvicePolicy{microseconds(340'000), microseconds(4900),
+                     milliseconds(2000)},
+        30}});
+  cell.Run(std::chrono::seconds(5));
+  cell.AddJobs(1, backlog / 2);
+  cell.AddJobs(2, backlog / 2);
+  cell.Run(std::chrono::seconds(2));
+  cell.processor_time = Duration();
+  cell.starts = 0;
+  cell.Run(std::chrono::seconds(kSeconds));
+  const auto counts = cell.Count();
+  std::printf(
+      "%s,%.3f,%zu,%zu\n", name,
+      std::chrono::duration<double>(cell.processor_time).count() / kSeconds,
+      cell.starts / kSeconds, counts.waiting_tasks);
+}
+
 }  // namespace
 
-auto main() -> int {
-  std::puts("workers,task_us,look_us,progress_bytes");
-  for (const std::size_t workers : {48, 192, 768, 3072}) {
-    const auto cost = Measure(workers);
-    std::printf("%zu,%.1f,%.2f,%.0f\n", workers, cost.task_us, cost.look_us,
-                cost.bytes);
+auto main(int argc, char** argv) -> int {
+  if (argc < 2 || std::string(argv[1]) != "grown") {
+    std::puts("workers,task_us,look_us,progress_bytes");
+    for (const std::size_t workers : {48, 192, 768, 3072}) {
+      const auto cost = Measure(workers);
+      std::printf("%zu,%.1f,%.2f,%.0f\n", workers, cost.task_us, cost.look_us,
+                  cost.bytes);
+    }
   }
+  std::puts("scenario,cores,starts_per_s,waiting_tasks");
+  MeasureGrown("grown", 0);
+  MeasureGrown("grown with backlog", 2000);
   return 0;
 }
--- /dev/null
+++ b/libs/cell/tests/simulated_cell.h
@@ -0,0 +1,330 @@
+#pragma once
+
+#include <time.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cell/scheduler.h"
+
+namespace shallotbank::cell {
+
+/// Jobs that arrive at a constant rate.
+struct JobKind {
+  const char* name = "";
+  double jobs_per_second = 0;
+  double steps = 1;  ///< Mean number of steps, one after the other.
+  std::size_t width = 1;
+  std::int64_t cores_milli = 0;
+  Milliseconds run_time{};
+  bool is_gang = false;
+  int priority = 0;
+  double stretch = 2;
+  Milliseconds slack{};
+  std::optional<AdvicePolicy> advice;
+  int approved_percent = 100;  ///< Of the workers, for each step.
+};
+
+/// A scheduler with simulated workers, store and advice service on a manual
+/// clock. Measures the processor time that the scheduler uses.
+class SimulatedCell {
+ public:
+  static constexpr Milliseconds kTick{4};
+
+  SimulatedCell(std::size_t workers,
+                std::size_t advisors,
+                std::vector<JobKind> kinds)
+      : scheduler({.fence = 1}, ManualClock().Now()),
+        kinds(std::move(kinds)),
+        due_jobs(this->kinds.size()),
+        due_steps(this->kinds.size()),
+        workers(workers),
+        advisor_free_at(advisors) {
+    CellConfiguration configuration;
+    for (const auto& kind : this->kinds) {
+      QueuePolicy queue;
+      queue.name = QueueName(kind.name);
+      queue.service = ServiceName("s");
+      queue.priority = kind.priority;
+      queue.objective_stretch = kind.stretch;
+      queue.objective_slack = kind.slack;
+      queue.advice = kind.advice;
+      configuration.queues[queue.name] = queue;
+    }
+    this->scheduler.OnConfiguration(configuration);
+    this->scheduler.SetAdvisors(advisors);
+    for (std::size_t i = 0; i < workers; i++) {
+      WorkerReport report;
+      report.id = WorkerId("worker-" + std::to_string(i));
+      report.born_unix_ms = 1;
+      report.address = "10.0.0.1:" + std::to_string(i);
+      report.service = ServiceName("s");
+      report.rack = RackId("rack-" + std::to_string(i / 8));
+      report.capacity = {64'000, 262'144, 0};
+      this->numbers[report.id] = i;
+      this->scheduler.OnWorker(report, this->clock.Now());
+    }
+  }
+
+  auto Run(Duration time) -> void {
+    for (Duration passed{}; passed < time; passed += kTick) {
+      this->Tick();
+    }
+  }
+
+  auto AddJobs(std::size_t kind, std::size_t count) -> void {
+    for (std::size_t i = 0; i < count; i++) {
+      this->AddJob(kind);
+    }
+  }
+
+  auto Count() const -> Scheduler::Counts { return this->scheduler.Count(); }
+
+  Duration processor_time{};
+  std::size_t events = 0;  ///< Calls of the scheduler other than `Decide`.
+  std::size_t starts = 0;
+
+ private:
+  struct ActiveRun {
+    int number = 0;
+    TimePoint started;
+  };
+  struct Worker {
+    std::map<TaskId, ActiveRun> running;
+    std::vector<EndedTask> ended;
+    std::uint64_t last_end = 0;
+    std::uint64_t acknowledged = 0;
+    std::optional<PollOrder> open_poll;
+    TimePoint poll_sent;
+    std::uint64_t poll_number = 0;
+  };
+
+  static constexpr Milliseconds kOneWay{4};
+  static constexpr Milliseconds kStoreTime{10};
+
+  auto At(Duration delay, std::function<void()> action) -> void {
+    this->actions.emplace(this->clock.Now() + delay, std::move(action));
+  }
+
+  static auto ProcessorTime() -> Duration {
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  }
+
+  template <typename Call>
+  auto Measure(const Call& call) -> void {
+    const auto begin = ProcessorTime();
+    call();
+    this->processor_time += ProcessorTime() - begin;
+  }
+
+  auto WorkerOf(const OrderTarget& target) -> Worker& {
+    return this->workers[this->numbers.at(target.worker)];
+  }
+
+  auto AddJob(std::size_t number) -> void {
+    const auto& kind = this->kinds[number];
+    JobSpec job;
+    job.id =
+        JobId(std::string(kind.name) + "-" + std::to_string(this->next_job++));
+    job.queue = QueueName(kind.name);
+    job.organisation =
+        OrganisationId("org-" + std::to_string(this->next_job % 20));
+    job.payload = std::string(200, 'x');
+    this->due_steps[number] += kind.steps;
+    while (job.steps.empty() || this->due_steps[number] >= 1) {
+      StepSpec step;
+      step.task_count = kind.width;
+      step.demand = {kind.cores_milli, 100, 0};
+      step.estimate = kind.run_time;
+      step.is_gang = kind.is_gang;
+      if (!job.steps.empty()) {
+        step.depends_on = {job.steps.size() - 1};
+      }
+      job.steps.push_back(step);
+      this->due_steps[number] -= 1;
+    }
+    for (std::size_t i = 0; i < job.steps.size(); i++) {
+      this->kind_of_step[job.id.Text() + ".0." + std::to_string(i)] = number;
+      for (std::size_t index = 0; index < kind.width; index++) {
+        this->run_times[TaskName(job.id, 0, i, index)] = kind.run_time;
+      }
+    }
+    this->events++;
+    this->Measure(
+        [&] { this->scheduler.OnJob(std::move(job), {}, this->clock.Now()); });
+  }
+
+  auto AnswerPoll(Worker& worker, const PollOrder& order, TimePoint sent)
+      -> void {
+    PollReply reply;
+    reply.outcome = OrderOutcome::kDone;
+    reply.worker_clock =
+        std::chrono::floor<Milliseconds>(this->clock.Now().time_since_epoch());
+    reply.born_unix_ms = 1;
+    for (const auto& [task, run] : worker.running) {
+      const auto percent =
+          100 * (this->clock.Now() - run.started) / this->run_times.at(task);
+      reply.running.push_back(
+          {task, run.number, "", static_cast<int>(percent)});
+    }
+    reply.ended = worker.ended;
+    this->At(kOneWay, [this, order, reply, sent] {
+      this->events++;
+      this->Measure([&] {
+        this->scheduler.OnPollReply(order, reply, sent, this->clock.Now());
+      });
+    });
+  }
+
+  auto End(Worker& worker, const TaskId& task, int run, EndKind how) -> void {
+    const auto found = worker.running.find(task);
+    if (found == worker.running.end() || found->second.number != run) {
+      return;
+    }
+    worker.running.erase(found);
+    worker.ended.push_back({++worker.last_end, task, run, how, ""});
+    if (worker.open_poll) {
+      this->AnswerPoll(worker, *worker.open_poll, worker.poll_sent);
+      worker.open_poll.reset();
+    }
+  }
+
+  auto OnPoll(const PollOrder& order, TimePoint sent) -> void {
+    auto& worker = this->WorkerOf(order.target);
+    std::erase_if(worker.ended, [&order](const EndedTask& end) {
+      return end.number <= order.acknowledged;
+    });
+    if (order.wait == Milliseconds::zero() || !worker.ended.empty()) {
+      this->AnswerPoll(worker, order, sent);
+      return;
+    }
+    worker.open_poll = order;
+    worker.poll_sent = sent;
+    this->At(order.wait, [this, &worker, number = ++worker.poll_number] {
+      if (worker.open_poll && worker.poll_number == number) {
+        this->AnswerPoll(worker, *worker.open_poll, worker.poll_sent);
+        worker.open_poll.reset();
+      }
+    });
+  }
+
+  auto OnStart(const StartOrder& order) -> void {
+    auto& worker = this->WorkerOf(order.target);
+    worker.running[order.task] = {order.run, this->clock.Now()};
+    this->At(this->run_times.at(order.task),
+             [this, &worker, task = order.task, run = order.run] {
+               this->End(worker, task, run, EndKind::kDone);
+             });
+    this->At(kOneWay, [this, order] {
+      this->events++;
+      this->Measure([&] {
+        this->scheduler.OnStartReply(order, {OrderOutcome::kDone, {}},
+                                     this->clock.Now());
+      });
+    });
+  }
+
+  auto OnStop(const StopOrder& order) -> void {
+    this->End(this->WorkerOf(order.target), order.task, order.run,
+              EndKind::kStopped);
+    this->At(kOneWay, [this, order] {
+      this->events++;
+      this->Measure([&] {
+        this->scheduler.OnStopReply(order, {OrderOutcome::kDone, {}},
+                                    this->clock.Now());
+      });
+    });
+  }
+
+  auto OnQuery(const AdviceQuery& query) -> void {
+    const auto& kind = this->kinds[this->kind_of_step.at(query.step)];
+    auto& free_at = this->advisor_free_at[query.advisor];
+    free_at = std::max(free_at, this->clock.Now()) + kind.advice->base_cost +
+              kind.advice->cost_per_worker *
+                  static_cast<std::int64_t>(query.workers.size());
+    AdviceReply reply;
+    reply.outcome = AdviceReply::Outcome::kAnswered;
+    for (const auto& worker : query.workers) {
+      const auto draw =
+          std::hash<std::string>{}(query.step + worker.Text()) % 100;
+      if (draw < static_cast<std::size_t>(kind.approved_percent)) {
+        reply.tickets.emplace_back(worker, "ticket");
+      }
+    }
+    this->At(free_at - this->clock.Now(), [this, query, reply] {
+      this->events++;
+      this->Measure(
+          [&] { this->scheduler.OnAdvice(query, reply, this->clock.Now()); });
+    });
+  }
+
+  auto Execute(const Decisions& decisions) -> void {
+    for (const auto& order : decisions.starts) {
+      this->starts++;
+      this->At(kOneWay, [this, order] { this->OnStart(order); });
+    }
+    for (const auto& order : decisions.stops) {
+      this->At(kOneWay, [this, order] { this->OnStop(order); });
+    }
+    for (const auto& order : decisions.polls) {
+      this->At(kOneWay, [this, order, sent = this->clock.Now()] {
+        this->OnPoll(order, sent);
+      });
+    }
+    for (const auto& query : decisions.advice) {
+      this->OnQuery(query);
+    }
+    if (decisions.batch) {
+      this->At(kStoreTime, [this, sequence = decisions.batch->sequence] {
+        this->events++;
+        this->Measure(
+            [&] { this->scheduler.OnStored(sequence, this->clock.Now()); });
+      });
+    }
+  }
+
+  auto Tick() -> void {
+    this->clock.Advance(kTick);
+    while (!this->actions.empty() &&
+           this->actions.begin()->first <= this->clock.Now()) {
+      this->actions.extract(this->actions.begin()).mapped()();
+    }
+    for (std::size_t i = 0; i < this->kinds.size(); i++) {
+      this->due_jobs[i] += this->kinds[i].jobs_per_second *
+                           std::chrono::duration<double>(kTick).count();
+      for (; this->due_jobs[i] >= 1; this->due_jobs[i] -= 1) {
+        this->AddJob(i);
+      }
+    }
+    Decisions decisions;
+    this->Measure([&] {
+      decisions = this->scheduler.Decide(this->clock.Now(), {}, true);
+    });
+    this->Execute(decisions);
+  }
+
+  ManualClock clock;
+  Scheduler scheduler;
+  std::vector<JobKind> kinds;
+  std::vector<double> due_jobs;
+  std::vector<double> due_steps;
+  std::vector<Worker> workers;
+  std::vector<TimePoint> advisor_free_at;
+  std::map<WorkerId, std::size_t> numbers;
+  std::map<std::string, std::size_t> kind_of_step;
+  std::map<TaskId, Milliseconds> run_times;
+  std::multimap<TimePoint, std::function<void()>> actions;
+  std::size_t next_job = 0;
+};
+
+}  // namespace shallotbank::cell
