--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -99,6 +99,9 @@
     this->UpdateReady(this->BeginOccurrence(job, 0));
     job.next_occurrence = 1;
   }
+  if (job.next_occurrence < job.spec.occurrence_count) {
+    this->recurring_jobs.insert(&job);
+  }
   this->needs_placement = true;
 }
 
@@ -172,9 +175,12 @@
 
 auto Scheduler::Core::BeginDueOccurrences(
     std::chrono::system_clock::time_point wall) -> void {
-  for (auto& [id, job] : this->jobs) {
-    while (!IsFinal(job->state) &&
-           job->next_occurrence < job->spec.occurrence_count &&
+  std::erase_if(this->recurring_jobs, [](const LiveJob* job) {
+    return IsFinal(job->state) ||
+           job->next_occurrence >= job->spec.occurrence_count;
+  });
+  for (auto* job : this->recurring_jobs) {
+    while (job->next_occurrence < job->spec.occurrence_count &&
            wall >= job->spec.first_due +
                        job->spec.interval * job->next_occurrence) {
       this->UpdateReady(this->BeginOccurrence(*job, job->next_occurrence));
@@ -263,6 +269,7 @@
     if (!is_stored || job.placed_tasks > 0) {
       return false;
     }
+    this->recurring_jobs.erase(found->second.get());
     this->jobs.erase(found);
     return true;
   });
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -248,6 +249,8 @@
   const SchedulerOptions options;
   CellConfiguration configuration;
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> jobs;
+  /// Jobs with occurrences that have not begun.
+  std::unordered_set<LiveJob*> recurring_jobs;
   std::map<WorkerId, LiveWorker> workers;
   std::unordered_map<OrganisationId, OrganisationUsage> organisation_usage;
   std::vector<LiveJob*> dirty_jobs;
