Look only at workers with pending orders for due orders

Every tick went through the tasks of all workers. Workers with a task that needs a start or stop order are now kept in a set; ExpectOrder adds them. The order in which orders are sent is unchanged.

--- a/libs/cell/src/batches.cc
+++ b/libs/cell/src/batches.cc
@@ -108,6 +108,7 @@
           if (task.stage == RunStage::kStoring && task.batch == sequence) {
             task.stage = RunStage::kStarting;
             task.next_send = now;
+            this->ExpectOrder(task);
           }
         }
       }
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -53,6 +53,12 @@
   TimePoint percent_reported_at;
   TimePoint percent_changed_at;
   std::vector<WorkerId> failed_workers;
+
+  /// Whether a start or stop order is due now or later.
+  auto NeedsOrder() const -> bool {
+    return this->stop_requested ||
+           (this->stage == RunStage::kStarting && !this->is_start_in_flight);
+  }
 };
 
 struct Ticket {
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -269,7 +269,7 @@
     return;
   }
   if (!task.stop_requested) {
-    task.stop_requested = true;
+    this->RequestStop(task);
     task.next_send = TimePoint();
   }
 }
@@ -296,6 +296,7 @@
     return;
   }
   task->is_start_in_flight = false;
+  this->ExpectOrder(*task);
   if (task->stage != RunStage::kStarting) {
     return;
   }
@@ -336,7 +337,7 @@
   step.not_before = now + kRefusalDelay;
   if (task->is_start_uncertain &&
       reply.outcome != OrderOutcome::kOtherIncarnation) {
-    task->stop_requested = true;
+    this->RequestStop(*task);
     task->next_send = now;
     if (step.spec->is_gang) {
       this->AbandonGang(step);
@@ -405,32 +406,55 @@
   decisions.starts.push_back(std::move(order));
 }
 
+auto Scheduler::Core::RequestStop(LiveTask& task) -> void {
+  task.stop_requested = true;
+  this->ExpectOrder(task);
+}
+
+auto Scheduler::Core::ExpectOrder(const LiveTask& task) -> void {
+  this->order_workers.insert(task.persistent.worker.id);
+}
+
+auto Scheduler::Core::SendDueOrdersTo(LiveWorker& worker,
+                                      TimePoint now,
+                                      Decisions& decisions,
+                                      std::vector<LiveTask*>& expired) -> void {
+  for (auto& [name, task] : worker.tasks) {
+    if (task->stop_requested) {
+      this->SendStop(worker, *task, now, decisions);
+      continue;
+    }
+    if (!task->NeedsOrder() || now < task->next_send) {
+      continue;
+    }
+    const bool is_expired = !task->ticket.empty() &&
+                            now >= task->ticket_expires &&
+                            !task->is_start_uncertain;
+    if (is_expired) {
+      expired.push_back(task);
+    } else {
+      this->SendStart(worker, *task, now, decisions);
+    }
+  }
+}
+
 auto Scheduler::Core::SendDueOrders(TimePoint now, Decisions& decisions)
     -> void {
   std::vector<LiveTask*> expired;
-  for (auto& [id, worker] : this->workers) {
-    if (worker.report.address.empty()) {
-      continue;
+  std::erase_if(this->order_workers, [&](const WorkerId& id) {
+    const auto found = this->workers.find(id);
+    if (found == this->workers.end()) {
+      return true;
     }
-    for (auto& [name, task] : worker.tasks) {
-      if (task->stop_requested) {
-        this->SendStop(worker, *task, now, decisions);
-        continue;
-      }
-      if (task->stage != RunStage::kStarting || task->is_start_in_flight ||
-          now < task->next_send) {
-        continue;
-      }
-      const bool is_expired = !task->ticket.empty() &&
-                              now >= task->ticket_expires &&
-                              !task->is_start_uncertain;
-      if (is_expired) {
-        expired.push_back(task);
-      } else {
-        this->SendStart(worker, *task, now, decisions);
-      }
+    auto& worker = found->second;
+    if (worker.report.address.empty()) {
+      return false;
     }
-  }
+    this->SendDueOrdersTo(worker, now, decisions, expired);
+    return std::none_of(
+        worker.tasks.begin(), worker.tasks.end(),
+        [](const auto& entry) { return entry.second->NeedsOrder(); });
+  });
   for (auto* task : expired) {
     if (task->stage == RunStage::kStarting && !task->stop_requested) {
       this->OnRunLost(*task, "ticket-expired");
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -144,7 +145,14 @@
   auto CountFailure(LiveTask& task) -> void;
   auto AbandonRun(LiveTask& task) -> void;
   auto AbandonGang(LiveStep& step) -> void;
+  auto RequestStop(LiveTask& task) -> void;
+  /// To be called whenever the task starts to need a start or stop order.
+  auto ExpectOrder(const LiveTask& task) -> void;
   auto SendDueOrders(TimePoint now, Decisions& decisions) -> void;
+  auto SendDueOrdersTo(LiveWorker& worker,
+                       TimePoint now,
+                       Decisions& decisions,
+                       std::vector<LiveTask*>& expired) -> void;
   auto SendStop(LiveWorker& worker,
                 LiveTask& task,
                 TimePoint now,
@@ -252,6 +260,8 @@
   /// Jobs with occurrences that have not begun.
   std::unordered_set<LiveJob*> recurring_jobs;
   std::map<WorkerId, LiveWorker> workers;
+  /// Workers with tasks that may need an order, see `ExpectOrder`.
+  std::set<WorkerId> order_workers;
   std::unordered_map<OrganisationId, OrganisationUsage> organisation_usage;
   std::vector<LiveJob*> dirty_jobs;
   std::vector<JobId> ended_jobs;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -87,7 +87,7 @@
   // An unanswered start could take effect in the new incarnation.
   for (auto& [name, task] : worker.tasks) {
     if (task->stage == RunStage::kStarting) {
-      task->stop_requested = true;
+      this->RequestStop(*task);
       task->is_stop_answered = false;
       task->next_send = now;
     }
@@ -319,7 +319,7 @@
   worker.quarantine_duration =
       std::max<Duration>(worker.quarantine_duration, kInitialQuarantine);
   worker.quarantined_until = now + worker.quarantine_duration;
-  task.stop_requested = true;
+  this->RequestStop(task);
   task.next_send = now;
 }
 
