--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -309,14 +309,6 @@
   this->workers[record.key] = std::move(*report);
 }
 
-auto CellDaemon::WorkerList() const -> std::vector<WorkerReport> {
-  std::vector<WorkerReport> list;
-  for (const auto& [id, worker] : this->workers) {
-    list.push_back(worker);
-  }
-  return list;
-}
-
 auto CellDaemon::SendLeaderRecord(const LeaderAppend& append) -> void {
   adapter::AppendRequest request;
   request.topic = kLeaderTopic;
@@ -450,11 +442,9 @@
     this->leader->FencePreviousLeader();
     this->leading_since = now;
   }
-  this->worker_list = this->WorkerList();
-  this->leader->Tick({this->jobs, this->configuration, this->worker_list,
-                      this->jobs_caught_up_at},
-                     this->progress_topic.Position(),
-                     this->election.HasLeaseAuthority(now));
+  this->leader->Tick(
+      {this->jobs, this->configuration, this->workers, this->jobs_caught_up_at},
+      this->progress_topic.Position(), this->election.HasLeaseAuthority(now));
 }
 
 auto CellDaemon::CollectorEndpoint(TimePoint now) const -> std::string {
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -87,7 +87,6 @@
       -> void;
   auto OnWorkerRecord(const adapter::KeyedRecord& record) -> void;
   auto RemoveWorker(const std::string& id) -> void;
-  auto WorkerList() const -> std::vector<WorkerReport>;
 
   const adapter::HostSettings settings;
   Metrics metrics;
@@ -104,7 +103,6 @@
   JobService service;
   std::map<std::string, WorkerReport> workers;
   std::map<std::string, Offset> worker_offsets;
-  std::vector<WorkerReport> worker_list;
   const std::string process;
   Election election;
   ProgressFeed feed;
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -128,7 +128,7 @@
   const auto now = this->runtime.clock.Now();
   this->scheduler = std::make_unique<Scheduler>(options, now);
   this->scheduler->OnConfiguration(view.configuration.cell);
-  for (const auto& worker : view.workers) {
+  for (const auto& [id, worker] : view.workers) {
     this->scheduler->OnWorker(worker, now);
   }
   for (const auto& [id, job] : view.jobs.OldestFirst()) {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -25,7 +25,7 @@
   struct View {
     const JobTable& jobs;
     const adapter::OperatorConfiguration& configuration;
-    const std::vector<WorkerReport>& workers;
+    const std::map<std::string, WorkerReport>& workers;  ///< By ID.
     /// When a read of the jobs topic last reached its end.
     TimePoint jobs_caught_up_at;
   };
