Keep the remaining critical path of each occurrence

Ranking the steps evaluated the critical path of every job in each pass. It changes only when a step is done, so UpdateReady now computes it, and jobs without waiting steps are passed over first.

--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -171,6 +171,13 @@
                       return occurrence.steps[before].unfinished == 0;
                     });
   }
+  if (!occurrence.steps.empty()) {
+    occurrence.remaining_path =
+        CriticalPathTime(occurrence.steps.front().job->spec.steps,
+                         [&occurrence](std::size_t step) {
+                           return occurrence.steps[step].unfinished == 0;
+                         });
+  }
 }
 
 auto Scheduler::Core::BeginDueOccurrences(
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -108,6 +108,8 @@
   std::size_t number = 0;
   std::deque<LiveStep> steps;
   std::size_t unfinished_steps = 0;
+  /// Estimated time of the critical path through the steps that are not done.
+  Duration remaining_path{};
 };
 
 struct LiveJob {
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -66,13 +66,10 @@
                            const LiveOccurrence& occurrence,
                            Duration allowance,
                            TimePoint now) const -> int {
-  const auto remaining =
-      CriticalPathTime(job.spec.steps, [&occurrence](std::size_t step) {
-        return occurrence.steps[step].unfinished == 0;
-      });
   // Jobs that would be late even if started now yield to jobs that can still
   // meet their objective.
-  const auto earliest = now - job.accepted_at + remaining + kStartOverhead;
+  const auto earliest =
+      now - job.accepted_at + occurrence.remaining_path + kStartOverhead;
   if (earliest > allowance * kVeryLateFactor) {
     return kVeryLateTier;
   }
@@ -84,18 +81,30 @@
 
 auto Scheduler::Core::RankSteps(TimePoint now) -> std::vector<RankedStep> {
   std::vector<RankedStep> ranked;
+  const auto is_waiting = [](const LiveStep& step) {
+    return step.is_ready && step.waiting > 0;
+  };
   for (auto& [id, job] : this->jobs) {
-    const auto* queue = this->QueueOf(*job);
-    if (IsFinal(job->state) || queue == nullptr) {
+    if (IsFinal(job->state)) {
       continue;
     }
-    const auto allowance = std::chrono::duration_cast<Duration>(
-                               job->critical_path * queue->objective_stretch) +
-                           queue->objective_slack;
+    const QueuePolicy* queue = nullptr;
     for (auto& occurrence : job->occurrences) {
+      if (std::none_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       is_waiting)) {
+        continue;
+      }
+      queue = queue == nullptr ? this->QueueOf(*job) : queue;
+      if (queue == nullptr) {
+        break;
+      }
+      const auto allowance =
+          std::chrono::duration_cast<Duration>(job->critical_path *
+                                               queue->objective_stretch) +
+          queue->objective_slack;
       const int tier = this->Tier(*job, occurrence, allowance, now);
       for (auto& step : occurrence.steps) {
-        if (step.is_ready && step.waiting > 0) {
+        if (is_waiting(step)) {
           ranked.push_back({tier, queue->priority, job->accepted_at + allowance,
                             &step, queue});
         }
