Keep the advisors' backlogs and test cheap conditions first

Choosing an advisor summed all queries for each advisor; the sums are now kept. Looking for permitted or unqueried workers hashed worker IDs before the cheaper test of eligibility, and went through all workers for steps without tickets.

--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -38,11 +38,8 @@
 }  // namespace
 
 auto Scheduler::Core::AdvisorBacklog(std::size_t advisor) const -> Duration {
-  Duration backlog{};
-  for (const auto& [number, query] : this->queries) {
-    backlog += query.advisor == advisor ? query.cost : Duration::zero();
-  }
-  return backlog;
+  const auto found = this->advisor_backlogs.find(advisor);
+  return found == this->advisor_backlogs.end() ? Duration() : found->second;
 }
 
 auto Scheduler::Core::ChooseAdvisor(Duration cost) const
@@ -111,19 +108,21 @@
   struct Candidate {
     bool has_preferred_pace = false;
     std::size_t slots = 0;
-    WorkerId id;
+    const WorkerId* id = nullptr;
   };
   std::vector<Candidate> candidates;
   for (const auto& [id, worker] : this->workers) {
-    const bool is_candidate =
-        !step.advice.queried.contains(id) &&
-        this->IsEligible(step, *ranked.queue, worker, now);
+    if (!this->IsEligible(step, *ranked.queue, worker, now) ||
+        step.advice.queried.contains(id)) {
+      continue;
+    }
     // Gangs also query workers that are full: whether a worker may run a step
     // never changes, while its free capacity does.
     const auto slots =
         this->CountSlots(step, worker, this->UnreservedResources(worker));
-    if (is_candidate && (slots > 0 || step.spec->is_gang)) {
-      candidates.push_back({IsPreferredPace(*ranked.queue, worker), slots, id});
+    if (slots > 0 || step.spec->is_gang) {
+      candidates.push_back(
+          {IsPreferredPace(*ranked.queue, worker), slots, &id});
     }
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -151,7 +150,7 @@
       break;
     }
     expected += approval_rate * static_cast<double>(slots);
-    selected.push_back(id);
+    selected.push_back(*id);
   }
   return selected;
 }
@@ -183,6 +182,7 @@
   step.advice.queried_at = now;
   this->queries[query.number] = {step.job->spec.id, step.occurrence,
                                  step.number, *advisor, cost};
+  this->advisor_backlogs[*advisor] += cost;
   decisions.advice.push_back(std::move(query));
 }
 
@@ -194,6 +194,7 @@
     return;
   }
   const auto& pending_query = pending.mapped();
+  this->advisor_backlogs[pending_query.advisor] -= pending_query.cost;
   const auto job = this->jobs.find(pending_query.job);
   if (job == this->jobs.end()) {
     return;
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -350,10 +350,12 @@
     -> std::vector<PermittedWorker> {
   const auto& step = *ranked.step;
   std::vector<PermittedWorker> permitted;
+  if (ranked.queue->advice && step.advice.tickets.empty()) {
+    return permitted;
+  }
   for (auto& [id, worker] : this->workers) {
-    const bool may_run =
-        !ranked.queue->advice || step.advice.tickets.contains(id);
-    if (may_run && this->IsEligible(step, *ranked.queue, worker, now)) {
+    if (this->IsEligible(step, *ranked.queue, worker, now) &&
+        (!ranked.queue->advice || step.advice.tickets.contains(id))) {
       permitted.push_back(
           {this->CountSlots(step, worker, this->UnreservedResources(worker)),
            &worker});
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -276,6 +276,8 @@
 
   std::uint64_t next_query = 1;
   std::unordered_map<std::uint64_t, PendingQuery> queries;
+  /// Total cost of the queries in flight, by advisor.
+  std::unordered_map<std::size_t, Duration> advisor_backlogs;
   std::unordered_map<QueueName, double> approval_rates;  ///< Learned, by queue.
   /// Stop orders for runs that belong to no known job.
   std::vector<StopOrder> orphaned_runs;
