Pass progress updates on in groups

What it costs: the leader calls every other host for the progress it has stored, up to 50 times a second each, so 39 other hosts mean up to 1,950 calls a second.

Cause: one call for each update and host. The class of fault: the work of one host grows with events times hosts.

Fix: with more than 6 other hosts the leader divides them into about as many groups as the square root of their number and calls the first host of each, which passes the updates on. Small hosts come first only if there are not enough larger ones. If the first host fails, its group gets the same updates through others at once. Updates are encoded once for each flush and shared by all calls.

While a host that passes updates on is stopped, each of the others shows each end within 2 s. The table tests pass in debug and asan.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -618,14 +618,16 @@
 
 auto CellDaemon::HandleProgressUpdates(const http::Request& request,
                                        http::Responder responder) -> void {
-  auto updates = DecodeProgressUpdates(request.body);
-  if (!updates) {
+  auto message = DecodeProgressMessage(request.body);
+  if (!message) {
     responder.Send({kBadRequest, {}, "not news of progress"});
     return;
   }
   const bool is_posted = this->loop.Post(
-      [this, kept = std::make_shared<std::vector<ProgressUpdate>>(
-                 std::move(*updates))] { this->OnProgressUpdates(*kept); });
+      [this, kept = std::make_shared<ProgressMessage>(std::move(*message))] {
+        this->OnProgressUpdates(kept->batch->updates);
+        this->feed.Forward(*kept);
+      });
   responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
 }
 
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -63,7 +63,7 @@
   /// Stores records that a peer sends to this host as the collector.
   auto HandleRecords(const http::Request& request, http::Responder responder)
       -> void;
-  /// Applies progress updates that the leader sends.
+  /// Applies progress updates that the leader sends, and passes them on.
   auto HandleProgressUpdates(const http::Request& request,
                              http::Responder responder) -> void;
   /// Endpoint of the collector, the host that stores new jobs for all hosts:
--- a/apps/cell/progress_feed.cc
+++ b/apps/cell/progress_feed.cc
@@ -1,5 +1,9 @@
 #include "progress_feed.h"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 #include "topics.h"
 
 namespace shallotbank::cell {
@@ -14,6 +18,9 @@
 /// More than one second of progress under the heaviest load. Beyond it, the
 /// updates are discarded and the host gets the progress from the store.
 constexpr std::size_t kMaxPendingUpdates = 1000;
+/// Targets that the leader has not named for this time are forgotten. Above the
+/// timeout of a call.
+constexpr std::chrono::seconds kTargetTimeout(5);
 
 }  // namespace
 
@@ -23,22 +30,62 @@
     : runtime(runtime), store(store), peers(peers) {}
 
 auto ProgressFeed::Publish(const std::vector<ProgressUpdate>& updates) -> void {
-  for (auto& [endpoint, subscriber] : this->subscribers) {
-    if (subscriber.updates.size() + updates.size() > kMaxPendingUpdates) {
-      subscriber.updates.clear();
-      continue;
-    }
-    for (const auto& update : updates) {
-      subscriber.updates[update.job] = update;
+  for (const auto& update : updates) {
+    this->unsent.insert_or_assign(update.job, update);
+  }
+}
+
+auto ProgressFeed::Forward(const ProgressMessage& message) -> void {
+  for (const auto& endpoint : message.endpoints) {
+    auto& target = this->targets[endpoint];
+    target.named_at = this->runtime.clock.Now();
+    AddPending(target.pending, message.batch);
+    if (!target.is_call_in_flight) {
+      this->SendToTarget(endpoint, target);
     }
   }
 }
 
+auto ProgressFeed::AddPending(Batches& pending, const SharedUpdateBatch& batch)
+    -> void {
+  auto count = batch->updates.size();
+  for (const auto& other : pending) {
+    count += other->updates.size();
+  }
+  if (count > kMaxPendingUpdates) {
+    pending.clear();
+  } else {
+    pending.push_back(batch);
+  }
+}
+
 auto ProgressFeed::Tick(TimePoint now) -> void {
   if (now < this->next_flush) {
     return;
   }
   this->next_flush = now + kFlushInterval;
+  std::erase_if(this->targets, [now](const auto& entry) {
+    return now - entry.second.named_at > kTargetTimeout;
+  });
+  this->UpdateSubscribers(now);
+  const bool has_pending = std::any_of(
+      this->subscribers.begin(), this->subscribers.end(),
+      [](const auto& entry) { return !entry.second.pending.empty(); });
+  if (!has_pending) {
+    return;
+  }
+  std::vector<UpdateReceiver> receivers;
+  for (const auto& [endpoint, subscriber] : this->subscribers) {
+    receivers.push_back({endpoint, this->peers.CapacityOf(endpoint)});
+  }
+  for (const auto& group : this->fan_out.Groups(receivers, now)) {
+    if (!this->subscribers[group.front()].is_call_in_flight) {
+      this->SendToGroup(group);
+    }
+  }
+}
+
+auto ProgressFeed::UpdateSubscribers(TimePoint now) -> void {
   std::map<std::string, Subscriber> reachable;
   for (const auto& endpoint : this->peers.Reachable(now)) {
     const auto known = this->subscribers.find(endpoint);
@@ -47,38 +94,99 @@
                               : std::move(known->second);
   }
   this->subscribers = std::move(reachable);
+  if (this->unsent.empty()) {
+    return;
+  }
+  std::vector<ProgressUpdate> updates;
+  for (auto& [job, update] : std::exchange(this->unsent, {})) {
+    updates.push_back(std::move(update));
+  }
+  const auto batch = MakeUpdateBatch(std::move(updates));
   for (auto& [endpoint, subscriber] : this->subscribers) {
-    if (!subscriber.is_call_in_flight && !subscriber.updates.empty()) {
-      this->Send(endpoint, subscriber);
+    AddPending(subscriber.pending, batch);
+  }
+}
+
+auto ProgressFeed::SendToGroup(const UpdateGroup& group) -> void {
+  Batches batches;
+  for (const auto& endpoint : group) {
+    for (const auto& batch :
+         std::exchange(this->subscribers[endpoint].pending, {})) {
+      if (std::find(batches.begin(), batches.end(), batch) == batches.end()) {
+        batches.push_back(batch);
+      }
     }
   }
+  if (batches.empty()) {
+    return;
+  }
+  const auto batch = MergeUpdateBatches(batches);
+  this->subscribers[group.front()].is_call_in_flight = true;
+  this->runtime.metrics.Add("progress_news_total");
+  this->Call(
+      group.front(),
+      EncodeProgressMessage({batch, {std::next(group.begin()), group.end()}}),
+      [this, group, batch](const http::Reply& reply) {
+        this->OnGroupReply(group, batch, reply.IsSuccess());
+      });
 }
 
-auto ProgressFeed::Send(const std::string& endpoint, Subscriber& subscriber)
-    -> void {
-  std::vector<ProgressUpdate> updates;
-  for (auto& [job, update] : subscriber.updates) {
-    updates.push_back(std::move(update));
+auto ProgressFeed::OnGroupReply(const UpdateGroup& group,
+                                const SharedUpdateBatch& batch,
+                                bool is_success) -> void {
+  const auto found = this->subscribers.find(group.front());
+  if (found != this->subscribers.end()) {
+    found->second.is_call_in_flight = false;
   }
-  subscriber.updates.clear();
-  subscriber.is_call_in_flight = true;
+  if (is_success) {
+    this->fan_out.OnSuccess(group.front());
+    return;
+  }
+  this->runtime.metrics.Add("progress_news_failed_total");
+  this->fan_out.OnFailure(group.front(), this->runtime.clock.Now());
+  if (group.size() == 1) {
+    return;  // The host gets the progress from the store.
+  }
+  for (const auto& endpoint : group) {
+    const auto subscriber = this->subscribers.find(endpoint);
+    if (subscriber != this->subscribers.end()) {
+      AddPending(subscriber->second.pending, batch);
+    }
+  }
+  this->next_flush = TimePoint();
+}
+
+auto ProgressFeed::SendToTarget(const std::string& endpoint,
+                                ForwardTarget& target) -> void {
+  const auto batch = MergeUpdateBatches(std::exchange(target.pending, {}));
+  target.is_call_in_flight = true;
+  this->runtime.metrics.Add("progress_forwarded_total");
+  this->Call(endpoint, batch->bytes,
+             [this, endpoint](const http::Reply& reply) {
+               if (!reply.IsSuccess()) {
+                 this->runtime.metrics.Add("progress_forward_failed_total");
+               }
+               const auto found = this->targets.find(endpoint);
+               if (found == this->targets.end()) {
+                 return;
+               }
+               found->second.is_call_in_flight = false;
+               if (!found->second.pending.empty()) {
+                 this->SendToTarget(endpoint, found->second);
+               }
+             });
+}
+
+auto ProgressFeed::Call(const std::string& endpoint,
+                        std::string body,
+                        StoreGateway::Done done) -> void {
   http::Call call;
   call.method = "POST";
   call.url = "http://" + endpoint + kProgressUpdatesPath;
-  call.body = EncodeProgressUpdates(updates);
+  call.body = std::move(body);
   call.timeout = kCallTimeout;
   call.idempotent = true;
-  this->runtime.metrics.Add("progress_news_total");
-  this->store.SendToPeer(
-      endpoint, std::move(call), [this, endpoint](const http::Reply& reply) {
-        if (!reply.IsSuccess()) {
-          this->runtime.metrics.Add("progress_news_failed_total");
-        }
-        const auto found = this->subscribers.find(endpoint);
-        if (found != this->subscribers.end()) {
-          found->second.is_call_in_flight = false;
-        }
-      });
+  this->store.SendToPeer(endpoint, std::move(call), std::move(done));
 }
 
 }  // namespace shallotbank::cell
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -72,6 +72,9 @@
   /// this host.
   auto Reachable(TimePoint now) const -> std::vector<std::string>;
 
+  /// Returns what the peer announced; zeros if none was seen.
+  auto CapacityOf(const std::string& endpoint) const -> HostCapacity;
+
  private:
   struct Peer;
   /// Whether the peer's announcement is current and no call to it has failed
--- a/libs/cell/include/cell/records.h
+++ b/libs/cell/include/cell/records.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,30 @@
 /// Returns nothing if the bytes are not progress updates.
 auto DecodeProgressUpdates(std::string_view bytes)
     -> std::optional<std::vector<ProgressUpdate>>;
+
+/// Progress updates with their encoded form, shared by all calls that carry
+/// them.
+struct UpdateBatch {
+  std::vector<ProgressUpdate> updates;
+  std::string bytes;
+};
+using SharedUpdateBatch = std::shared_ptr<const UpdateBatch>;
+auto MakeUpdateBatch(std::vector<ProgressUpdate> updates) -> SharedUpdateBatch;
+/// Returns the newest update of each job; a single batch is returned as it is.
+auto MergeUpdateBatches(const std::vector<SharedUpdateBatch>& batches)
+    -> SharedUpdateBatch;
+
+/// A batch and the endpoints to which the receiver passes it on.
+struct ProgressMessage {
+  SharedUpdateBatch batch;
+  std::vector<std::string> endpoints;
+};
+/// Without endpoints, the message is the encoded batch, the only form that
+/// hosts of earlier releases read.
+auto EncodeProgressMessage(const ProgressMessage& message) -> std::string;
+/// Returns nothing if the bytes are not a message.
+auto DecodeProgressMessage(std::string_view bytes)
+    -> std::optional<ProgressMessage>;
 auto DecodeState(std::string_view bytes) -> std::optional<JobState>;
 
 /// Keys and values that one host sends to another for storing.
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -202,4 +202,10 @@
   return reachable;
 }
 
+auto PeerDirectory::CapacityOf(const std::string& endpoint) const
+    -> HostCapacity {
+  const auto found = this->peers.find(endpoint);
+  return found == this->peers.end() ? HostCapacity() : found->second.capacity;
+}
+
 }  // namespace shallotbank::cell
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -1,5 +1,8 @@
 #include "cell/records.h"
 
+#include <map>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace shallotbank::cell {
@@ -200,6 +203,65 @@
   }
 }
 
+auto MakeUpdateBatch(std::vector<ProgressUpdate> updates) -> SharedUpdateBatch {
+  auto bytes = EncodeProgressUpdates(updates);
+  return std::make_shared<const UpdateBatch>(
+      UpdateBatch{std::move(updates), std::move(bytes)});
+}
+
+auto MergeUpdateBatches(const std::vector<SharedUpdateBatch>& batches)
+    -> SharedUpdateBatch {
+  if (batches.size() == 1) {
+    return batches.front();
+  }
+  std::map<std::string_view, const ProgressUpdate*> newest;
+  for (const auto& batch : batches) {
+    for (const auto& update : batch->updates) {
+      auto& known = newest[update.job];
+      if (known == nullptr || known->offset <= update.offset) {
+        known = &update;
+      }
+    }
+  }
+  std::vector<ProgressUpdate> updates;
+  for (const auto& [job, update] : newest) {
+    updates.push_back(*update);
+  }
+  return MakeUpdateBatch(std::move(updates));
+}
+
+auto EncodeProgressMessage(const ProgressMessage& message) -> std::string {
+  const auto& bytes = message.batch->bytes;
+  return message.endpoints.empty()
+             ? bytes
+             : ToText(
+                   {{"endpoints", message.endpoints},
+                    {"updates", Json::binary({bytes.begin(), bytes.end()})}});
+}
+
+auto DecodeProgressMessage(std::string_view bytes)
+    -> std::optional<ProgressMessage> {
+  try {
+    const auto json = Json::from_msgpack(bytes);
+    ProgressMessage message;
+    std::string encoded(bytes);
+    if (json.is_object()) {
+      const auto& updates = json.at("updates").get_binary();
+      encoded.assign(updates.begin(), updates.end());
+      message.endpoints = json.at("endpoints").get<std::vector<std::string>>();
+    }
+    auto updates = DecodeProgressUpdates(encoded);
+    if (!updates) {
+      return std::nullopt;
+    }
+    message.batch = std::make_shared<const UpdateBatch>(
+        UpdateBatch{std::move(*updates), std::move(encoded)});
+    return message;
+  } catch (const Json::exception&) {
+    return std::nullopt;  // The caller reports the error to the sender.
+  }
+}
+
 auto DecodeState(std::string_view bytes) -> std::optional<JobState> {
   if (bytes.empty()) {
     return std::nullopt;
--- a/libs/cell/tests/job_table_test.cc
+++ b/libs/cell/tests/job_table_test.cc
@@ -145,6 +145,7 @@
     BOOST_TEST_CONTEXT(test_case.name) {
       BOOST_TEST(!DecodeGroup(test_case.bytes));
       BOOST_TEST(!DecodeProgressUpdates(test_case.bytes));
+      BOOST_TEST(!DecodeProgressMessage(test_case.bytes));
     }
   }
 }
