--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -309,6 +309,7 @@
 auto Leader::SendOrder(http::Call call, StoreGateway::Done done) -> void {
   auto& loop = this->runtime.loop;
   auto& busy = this->runtime.busy;
+  this->runtime.metrics.Add("worker_calls_total", "direct");
   this->worker_client.Send(
       std::move(call),
       [&loop, &busy, done = std::move(done)](http::Reply reply) {
