Let other hosts carry the leader's calls to workers

What callers saw: in cells of 350 workers most work was late or lost.

Cause: the leader sends each start, stop and long poll to each worker itself, about 1,700 HTTP calls a second at 0.1 to 0.2 ms of a host with half a core.

Change: from 128 workers on, one host per 64 workers makes the calls for the leader. Calls and replies travel in batches every 10 ms with the remaining time of each call. Calls of a failed carrier end at once: those that have not run are sent directly, the others count as unanswered. The scheduler is unchanged, and a smaller cell has no carriers.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -106,6 +106,7 @@
               this->writer,
               {this->jobs, this->configuration, this->is_configured}),
       process(NewProcessId()),
+      carrier(this->runtime, this->store, this->process),
       election(this->settings.host,
                this->process,
                kMaxNormalLatency * kClaimDelayFactor),
@@ -265,6 +266,7 @@
 }
 
 auto CellDaemon::RemoveWorker(const std::string& id) -> void {
+  this->carrier.RemoveWorker(id);
   if (this->workers.erase(id) > 0 && this->leader) {
     this->leader->OnWorkerGone(WorkerId(id));
   }
@@ -303,6 +305,7 @@
     this->RemoveWorker(record.key);
     return;
   }
+  this->carrier.SetWorker(record.key, report->address);
   if (this->leader) {
     this->leader->OnWorker(*report);
   }
@@ -531,6 +534,7 @@
   this->store.Tick(now);
   this->TickElection(now);
   this->TickLeader(now);
+  this->carrier.Tick(now);
   this->TickPeers(now);
   this->UpdateHealth(now);
 }
@@ -593,6 +597,10 @@
           this->HandleRecords(request, std::move(responder));
         } else if (request.path == kProgressUpdatesPath) {
           this->HandleProgressUpdates(request, std::move(responder));
+        } else if (request.path == kOrdersPath) {
+          this->carrier.Handle(request, std::move(responder));
+        } else if (request.path == kOrderRepliesPath) {
+          this->HandleOrderReplies(request, std::move(responder));
         } else if (request.path == "/metrics") {
           responder.Send(
               {kOk, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
@@ -631,6 +639,22 @@
   responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
 }
 
+auto CellDaemon::HandleOrderReplies(const http::Request& request,
+                                    http::Responder responder) -> void {
+  auto batch = DecodeReplyBatch(request.body);
+  if (!batch) {
+    responder.Send({kBadRequest, {}, "not a batch of replies"});
+    return;
+  }
+  const bool is_posted = this->loop.Post(
+      [this, kept = std::make_shared<ReplyBatch>(std::move(*batch))] {
+        if (this->leader) {
+          this->leader->OnCarriedReplies(*kept);
+        }
+      });
+  responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
+}
+
 auto CellDaemon::RunCore() -> void {
   this->configuration_topic.Start();
   this->workers_topic.Start();
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -22,6 +22,7 @@
 #include "http/server.h"
 #include "job_service.h"
 #include "leader.h"
+#include "order_carrier.h"
 #include "progress_feed.h"
 #include "record_writer.h"
 #include "runtime.h"
@@ -66,6 +67,9 @@
   /// Applies progress updates that the leader sends, and passes them on.
   auto HandleProgressUpdates(const http::Request& request,
                              http::Responder responder) -> void;
+  /// Passes replies of workers, which a peer has called, to the leader.
+  auto HandleOrderReplies(const http::Request& request,
+                          http::Responder responder) -> void;
   /// Endpoint of the collector, the host that stores new jobs for all hosts:
   /// the leader or, while there is none, a fallback collector. Empty if it is
   /// this host.
@@ -104,6 +108,7 @@
   std::map<std::string, WorkerReport> workers;
   std::map<std::string, Offset> worker_offsets;
   const std::string process;
+  OrderCarrier carrier;
   Election election;
   ProgressFeed feed;
   TimePoint progress_updated_at;  ///< When the leader last sent any.
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -19,10 +19,6 @@
 /// Added to the expected duration of an advice query: covers the round trip and
 /// one lost packet.
 constexpr std::chrono::milliseconds kAdviceMargin(400);
-/// One for the long poll, the others for orders. Workers accept 64 connections
-/// in all, which leaves capacity for those of previous leaders that were never
-/// closed.
-constexpr long kConnectionsPerWorker = 4;
 constexpr std::chrono::milliseconds kAppendRetryDelay(50);
 /// Above the time that an append to a slow store takes.
 constexpr std::chrono::milliseconds kAppendTimeout(2300);
@@ -85,7 +81,7 @@
       previous_authority_end(previous_authority_end),
       on_progress_stored(std::move(on_progress_stored)),
       lifetime(std::make_shared<bool>(true)),
-      worker_client({.max_connections_per_host = kConnectionsPerWorker}) {}
+      dispatcher(runtime, store, peers, epoch) {}
 
 Leader::~Leader() = default;
 
@@ -192,6 +188,11 @@
   }
 }
 
+auto Leader::OnCarriedReplies(const ReplyBatch& batch) -> void {
+  const auto handling = this->runtime.busy.Measure(Duty::kWorkerReplies);
+  this->dispatcher.OnReplies(batch);
+}
+
 auto Leader::Tick(const View& view, Offset progress_position, bool may_renew)
     -> void {
   const auto now = this->runtime.clock.Now();
@@ -225,6 +226,7 @@
   {
     const auto sending = this->runtime.busy.Measure(Duty::kSending);
     this->Execute(std::move(decisions));
+    this->dispatcher.Tick(view.workers.size(), now);
     this->SendBatches();
   }
   this->DeleteExpiredJobs(view, now);
@@ -260,7 +262,7 @@
 
 auto Leader::ReportLoad() -> void {
   const auto& busy = this->runtime.busy;
-  const auto workers = this->worker_client.Stats();
+  const auto workers = this->dispatcher.DirectStats();
   const auto others = this->runtime.client.Stats();
   const auto lag = this->runtime.loop.TakeMaxTickDelay();
   this->runtime.metrics.Observe("core_loop_lag_seconds", lag);
@@ -306,60 +308,53 @@
   }
 }
 
-auto Leader::SendOrder(http::Call call, StoreGateway::Done done) -> void {
-  auto& loop = this->runtime.loop;
-  auto& busy = this->runtime.busy;
-  this->runtime.metrics.Add("worker_calls_total", "direct");
-  this->worker_client.Send(
-      std::move(call),
-      [&loop, &busy, done = std::move(done)](http::Reply reply) {
-        loop.PostBlocking([&busy, done, reply = std::move(reply)] {
-          const auto handling = busy.Measure(Duty::kWorkerReplies);
-          done(reply);
-        });
-      });
-}
-
 auto Leader::SendStart(StartOrder order) -> void {
   this->runtime.metrics.Add("orders_total", "start");
   auto call = adapter::MakeStartCall(order, kOrderTimeout);
-  this->SendOrder(std::move(call), [this, weak = std::weak_ptr(this->lifetime),
-                                    order = std::move(order)](
-                                       const http::Reply& reply) {
-    if (weak.expired()) {
-      return;
-    }
-    const auto result = adapter::ParseOrderReply(reply);
-    if (result.outcome != OrderOutcome::kDone) {
-      CountRefusedStart(this->runtime.metrics, result.outcome);
-      LogEvent(Event::kStartRefused, {{"task", order.task.Text()},
-                                      {"run", std::to_string(order.run)},
-                                      {"worker", order.target.worker.Text()},
-                                      {"status", std::to_string(reply.status)},
-                                      {"answer", reply.body + reply.error}});
-    }
-    this->scheduler->OnStartReply(order, result, this->runtime.clock.Now());
-  });
+  // Copied first: the order is moved in the same call.
+  const auto worker = order.target.worker.Text();
+  this->dispatcher.Send(
+      worker, std::move(call),
+      [this, weak = std::weak_ptr(this->lifetime),
+       order = std::move(order)](const http::Reply& reply) {
+        if (weak.expired()) {
+          return;
+        }
+        const auto result = adapter::ParseOrderReply(reply);
+        if (result.outcome != OrderOutcome::kDone) {
+          CountRefusedStart(this->runtime.metrics, result.outcome);
+          LogEvent(Event::kStartRefused,
+                   {{"task", order.task.Text()},
+                    {"run", std::to_string(order.run)},
+                    {"worker", order.target.worker.Text()},
+                    {"status", std::to_string(reply.status)},
+                    {"answer", reply.body + reply.error}});
+        }
+        this->scheduler->OnStartReply(order, result, this->runtime.clock.Now());
+      });
 }
 
 auto Leader::SendStop(StopOrder order) -> void {
   this->runtime.metrics.Add("orders_total", "stop");
   auto call = adapter::MakeStopCall(order, kOrderTimeout);
-  this->SendOrder(
-      std::move(call), [this, weak = std::weak_ptr(this->lifetime),
-                        order = std::move(order)](const http::Reply& reply) {
-        if (!weak.expired()) {
-          this->scheduler->OnStopReply(order, adapter::ParseOrderReply(reply),
-                                       this->runtime.clock.Now());
-        }
-      });
+  const auto worker = order.target.worker.Text();
+  this->dispatcher.Send(worker, std::move(call),
+                        [this, weak = std::weak_ptr(this->lifetime),
+                         order = std::move(order)](const http::Reply& reply) {
+                          if (!weak.expired()) {
+                            this->scheduler->OnStopReply(
+                                order, adapter::ParseOrderReply(reply),
+                                this->runtime.clock.Now());
+                          }
+                        });
 }
 
 auto Leader::SendPoll(PollOrder order) -> void {
   this->runtime.metrics.Add("orders_total", "hold");
   auto call = adapter::MakePollCall(order, kPollMargin);
-  this->SendOrder(
-      std::move(call),
+  const auto worker = order.target.worker.Text();
+  this->dispatcher.Send(
+      worker, std::move(call),
       [this, weak = std::weak_ptr(this->lifetime), order = std::move(order),
        sent = this->runtime.clock.Now()](const http::Reply& reply) {
         if (!weak.expired()) {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -12,6 +12,7 @@
 #include "cell/peer_directory.h"
 #include "cell/records.h"
 #include "cell/scheduler.h"
+#include "order_dispatcher.h"
 #include "runtime.h"
 #include "store_gateway.h"
 
@@ -53,6 +54,8 @@
   auto OnJob(const JobId& id, const StoredJob& job) -> void;
   auto OnWorker(const WorkerReport& report) -> void;
   auto OnWorkerGone(const WorkerId& worker) -> void;
+  /// Handles replies of workers that other hosts have called for this one.
+  auto OnCarriedReplies(const ReplyBatch& batch) -> void;
 
   /// Whether all earlier progress is known and scheduling has started.
   auto IsScheduling() const -> bool { return this->scheduler != nullptr; }
@@ -63,7 +66,6 @@
   auto StartScheduling(const View& view) -> void;
   auto AddJob(const JobId& id, const StoredJob& job) -> void;
   auto Execute(Decisions decisions) -> void;
-  auto SendOrder(http::Call call, StoreGateway::Done done) -> void;
   auto SendStart(StartOrder order) -> void;
   auto SendStop(StopOrder order) -> void;
   auto SendPoll(PollOrder order) -> void;
@@ -87,10 +89,7 @@
   // Reply handlers hold a weak pointer to it, so that replies that arrive after
   // the epoch has ended are ignored.
   std::shared_ptr<bool> lifetime;
-  /// Owned by the leader, so that its connections to workers are closed when
-  /// leadership ends: workers accept few connections, and each previous leader
-  /// would leave some open.
-  http::Client worker_client;
+  OrderDispatcher dispatcher;
   std::optional<Offset> first_own_offset;
   TimePoint fenced_at;  ///< When the previous leader was fenced off.
   std::unique_ptr<Scheduler> scheduler;
--- a/apps/cell/topics.h
+++ b/apps/cell/topics.h
@@ -20,6 +20,11 @@
 /// Path at which hosts receive progress that the leader has stored.
 inline constexpr const char* kProgressUpdatesPath = "/v1/progress";
 
+/// Paths at which hosts receive calls to workers that they make for the leader,
+/// and at which the leader receives the replies.
+inline constexpr const char* kOrdersPath = "/v1/orders";
+inline constexpr const char* kOrderRepliesPath = "/v1/order-replies";
+
 /// Path and headers with which a host asks a peer to call a platform service on
 /// its behalf.
 inline constexpr const char* kRelayPath = "/v1/relay";
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -75,6 +75,11 @@
   /// Returns what the peer announced; zeros if none was seen.
   auto CapacityOf(const std::string& endpoint) const -> HostCapacity;
 
+  /// Returns the endpoints of the responding peers that are not much smaller
+  /// than `own`.
+  auto ReachableOfSize(const HostCapacity& own, TimePoint now) const
+      -> std::vector<std::string>;
+
  private:
   struct Peer;
   /// Whether the peer's announcement is current and no call to it has failed
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -208,4 +208,17 @@
   return found == this->peers.end() ? HostCapacity() : found->second.capacity;
 }
 
+auto PeerDirectory::ReachableOfSize(const HostCapacity& own,
+                                    TimePoint now) const
+    -> std::vector<std::string> {
+  std::vector<std::string> reachable;
+  for (const auto& [endpoint, peer] : this->peers) {
+    if (IsResponding(peer, now) && this->IsReachable(peer, now) &&
+        !IsMuchLarger(own, peer.capacity)) {
+      reachable.push_back(endpoint);
+    }
+  }
+  return reachable;
+}
+
 }  // namespace shallotbank::cell
