--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -262,6 +262,8 @@
   std::map<WorkerId, LiveWorker> workers;
   /// Workers with tasks that may need an order, see `ExpectOrder`.
   std::set<WorkerId> order_workers;
+  /// Workers without a poll in flight.
+  std::set<WorkerId> unpolled_workers;
   std::unordered_map<OrganisationId, OrganisationUsage> organisation_usage;
   std::vector<LiveJob*> dirty_jobs;
   std::vector<JobId> ended_jobs;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -39,6 +39,7 @@
   auto [found, is_new] = this->workers.try_emplace(id);
   if (is_new) {
     found->second.report.id = id;
+    this->unpolled_workers.insert(id);
     found->second.unattached_lease_end =
         this->options.previous_authority_end + this->options.lease +
         this->options.lease / kClockErrorDivisor;
@@ -130,6 +131,7 @@
   }
   auto& worker = found->second;
   worker.is_poll_in_flight = false;
+  this->unpolled_workers.insert(order.target.worker);
   if (reply.outcome == OrderOutcome::kFenced) {
     this->is_fenced = true;
     return;
@@ -372,9 +374,17 @@
 auto Scheduler::Core::SendPolls(TimePoint now,
                                 bool may_renew,
                                 Decisions& decisions) -> void {
-  for (auto& [id, worker] : this->workers) {
-    if (worker.is_poll_in_flight || worker.report.address.empty() ||
-        now < worker.next_poll) {
+  for (auto position = this->unpolled_workers.begin();
+       position != this->unpolled_workers.end();) {
+    const auto unpolled = position++;
+    const auto found = this->workers.find(*unpolled);
+    if (found == this->workers.end() || found->second.is_poll_in_flight) {
+      this->unpolled_workers.erase(unpolled);
+      continue;
+    }
+    const auto& id = found->first;
+    auto& worker = found->second;
+    if (worker.report.address.empty() || now < worker.next_poll) {
       continue;
     }
     const bool is_storing = worker.completions_seen > worker.completions_stored;
