--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -122,7 +122,7 @@
              }
            },
            [this](const auto& record) { this->OnConfigurationRecord(record); },
-           [](Offset) {}}),
+           [](Offset, TimePoint) {}}),
       workers_topic(
           this->runtime,
           this->store,
@@ -130,7 +130,7 @@
           kWorkersReadDelay,
           {[this](const auto& records) { this->OnWorkersSnapshot(records); },
            [this](const auto& record) { this->OnWorkerRecord(record); },
-           [](Offset) {}}),
+           [](Offset, TimePoint) {}}),
       jobs_topic(
           this->runtime,
           this->store,
@@ -138,8 +138,8 @@
           Duration::zero(),
           {[this](const auto& records) { this->OnJobsSnapshot(records); },
            [this](const auto& record) { this->OnJobRecord(record); },
-           [this](Offset) {
-             this->jobs_caught_up_at = this->runtime.clock.Now();
+           [this](Offset, TimePoint as_of) {
+             this->jobs_caught_up_at = as_of;
              this->service.SetJobsCaughtUpAt(this->jobs_caught_up_at);
            }}),
       progress_topic(
@@ -153,7 +153,7 @@
              }
            },
            [this](const auto& record) { this->OnProgressRecord(record); },
-           [](Offset) {}}),
+           [](Offset, TimePoint) {}}),
       leader_topic(
           this->runtime,
           this->store,
@@ -175,7 +175,7 @@
                                        this->runtime.clock.Now());
              }
            },
-           [this](Offset end) {
+           [this](Offset end, TimePoint) {
              this->election.OnReadToEnd(end, this->runtime.clock.Now());
            }}),
       hosts_topic(this->runtime,
@@ -188,7 +188,7 @@
                      }
                    },
                    [this](const auto& record) { this->OnHostRecord(record); },
-                   [](Offset) {}}) {}
+                   [](Offset, TimePoint) {}}) {}
 
 CellDaemon::~CellDaemon() = default;
 
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -26,6 +26,12 @@
       read_delay(read_delay),
       handlers(std::move(handlers)) {}
 
+auto TopicFollower::Start() -> void {
+  this->snapshot_records.clear();
+  this->snapshot_started_at = this->runtime.clock.Now();
+  this->ReadSnapshotPage("");
+}
+
 auto TopicFollower::Tick(TimePoint now) -> void {
   if (this->is_read_in_flight || now < this->next_read) {
     return;
@@ -33,8 +39,7 @@
   if (this->is_tailing) {
     this->ReadNext();
   } else {
-    this->snapshot_records.clear();
-    this->ReadSnapshotPage("");
+    this->Start();
   }
 }
 
@@ -81,7 +86,8 @@
   this->handlers.on_snapshot(std::exchange(this->snapshot_records, {}));
   this->last_read = this->runtime.clock.Now();
   this->is_caught_up = true;
-  this->handlers.on_end(this->position);
+  // Records appended while the pages were read may be missing.
+  this->handlers.on_end(this->position, this->snapshot_started_at);
   this->next_read = this->last_read;
 }
 
@@ -118,7 +124,7 @@
   const auto now = this->runtime.clock.Now();
   this->last_read = now;
   if (this->position >= result.end) {
-    this->handlers.on_end(this->position);
+    this->handlers.on_end(this->position, now);
   }
   this->next_read =
       now + (result.records.empty() ? Duration::zero() : this->read_delay);
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -19,8 +19,9 @@
     /// not among them no longer exist.
     std::function<void(const std::vector<adapter::KeyedRecord>&)> on_snapshot;
     std::function<void(const adapter::KeyedRecord&)> on_record;
-    /// Called when a read has reached the end of the topic.
-    std::function<void(Offset end)> on_end;
+    /// Called when all records that the topic had at the time `as_of` have been
+    /// read.
+    std::function<void(Offset end, TimePoint as_of)> on_end;
   };
 
   /// Consecutive reads are `read_delay` apart, so that records arrive in
@@ -31,7 +32,7 @@
                 Duration read_delay,
                 Handlers handlers);
 
-  auto Start() -> void { this->ReadSnapshotPage(""); }
+  auto Start() -> void;
   /// Called every few milliseconds.
   auto Tick(TimePoint now) -> void;
   /// A shorter delay also shortens the current one.
@@ -56,6 +57,7 @@
   const Handlers handlers;
   std::vector<adapter::KeyedRecord> snapshot_records;
   Offset snapshot_end = 0;
+  TimePoint snapshot_started_at;
   Offset position = 0;
   bool is_tailing = false;
   bool is_caught_up = false;
