Make the scheduler's cost per event independent of the workers

By a profile of that test: SelectUnqueriedWorkers, PermittedWorkers, ReleaseExpiredLeases and BuildBatch visited every worker, RankSteps every job.

FreeCoresIndex keeps the workers of a service by free cores, so a query visits the emptiest ones only. Permitted workers are found by their tickets. Workers with unstored completions and jobs with waiting steps are kept in sets. Expired leases are searched for every 100 ms instead of on each decision. The limit of an organisation is checked before workers are visited.

--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 #include <cmath>
-#include <tuple>
+#include <span>
 
 #include "scheduler_core.h"
 
@@ -35,6 +35,16 @@
          policy.cost_per_worker * static_cast<std::int64_t>(workers);
 }
 
+/// Number of workers up to which a query costs little more than an empty one.
+auto CheapCount(const AdvicePolicy& policy) -> std::size_t {
+  const auto base = std::chrono::duration<double>(policy.base_cost).count();
+  const auto per_worker =
+      std::chrono::duration<double>(policy.cost_per_worker).count();
+  return per_worker > 0 ? static_cast<std::size_t>(std::lround(
+                              kCheapCostFraction * base / per_worker))
+                        : kMaxWorkersPerQuery;
+}
+
 }  // namespace
 
 auto Scheduler::Core::AdvisorBacklog(std::size_t advisor) const -> Duration {
@@ -100,57 +110,57 @@
   return selected;
 }
 
+auto Scheduler::Core::ApprovalRate(const QueueName& queue) const -> double {
+  const auto learned = this->approval_rates.find(queue);
+  return std::max(kMinApprovalRate, learned == this->approval_rates.end()
+                                        ? kInitialApprovalRate
+                                        : learned->second);
+}
+
 auto Scheduler::Core::SelectUnqueriedWorkers(const RankedStep& ranked,
                                              TimePoint now)
     -> std::vector<WorkerId> {
-  const auto& step = *ranked.step;
-  const auto& policy = *ranked.queue->advice;
-  struct Candidate {
+  /// The candidates of a group are queried before those of later groups.
+  struct Group {
     bool has_preferred_pace = false;
-    std::size_t slots = 0;
-    const WorkerId* id = nullptr;
+    bool has_room = false;
   };
-  std::vector<Candidate> candidates;
-  for (const auto& [id, worker] : this->workers) {
-    if (!this->IsEligible(step, *ranked.queue, worker, now) ||
-        step.advice.queried.contains(id)) {
-      continue;
-    }
-    // Gangs also query workers that are full: whether a worker may run a step
-    // never changes, while its free capacity does.
-    const auto slots =
-        this->CountSlots(step, worker, this->UnreservedResources(worker));
-    if (slots > 0 || step.spec->is_gang) {
-      candidates.push_back(
-          {IsPreferredPace(*ranked.queue, worker), slots, &id});
-    }
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.has_preferred_pace, a.slots) >
-                     std::tie(b.has_preferred_pace, b.slots);
-            });
-  const auto learned = this->approval_rates.find(ranked.queue->name);
-  const double approval_rate =
-      std::max(kMinApprovalRate, learned == this->approval_rates.end()
-                                     ? kInitialApprovalRate
-                                     : learned->second);
+  // Gangs also query workers that are full: whether a worker may run a step
+  // never changes, while its free capacity does.
+  constexpr Group kGangGroups[] = {
+      {true, true}, {true, false}, {false, true}, {false, false}};
+  constexpr Group kGroups[] = {{true, true}, {false, true}};
+  const auto& step = *ranked.step;
+  const auto& spec = *step.spec;
+  const auto groups = spec.is_gang ? std::span<const Group>(kGangGroups)
+                                   : std::span<const Group>(kGroups);
+  const double approval_rate = this->ApprovalRate(ranked.queue->name);
   const double wanted_slots = static_cast<double>(step.waiting) * kSpareFactor;
-  const auto base = std::chrono::duration<double>(policy.base_cost).count();
-  const auto per_worker =
-      std::chrono::duration<double>(policy.cost_per_worker).count();
-  const auto cheap_count =
-      per_worker > 0 ? static_cast<std::size_t>(
-                           std::lround(kCheapCostFraction * base / per_worker))
-                     : kMaxWorkersPerQuery;
+  const auto cheap_count = CheapCount(*ranked.queue->advice);
   std::vector<WorkerId> selected;
   double expected = 0;
-  for (const auto& [has_preferred_pace, slots, id] : candidates) {
-    if (expected >= wanted_slots && selected.size() >= cheap_count) {
-      break;
+  for (const auto& group : groups) {
+    for (const auto& [free_cores_milli, worker] :
+         this->free_cores.WorkersOf(ranked.queue->service)) {
+      if (expected >= wanted_slots && selected.size() >= cheap_count) {
+        return selected;
+      }
+      if (group.has_room && free_cores_milli < spec.demand.cores_milli) {
+        break;
+      }
+      if (IsPreferredPace(*ranked.queue, *worker) != group.has_preferred_pace ||
+          !this->IsEligible(step, *ranked.queue, *worker, now) ||
+          step.advice.queried.contains(worker->report.id)) {
+        continue;
+      }
+      const auto slots =
+          this->CountSlots(step, *worker, this->UnreservedResources(*worker));
+      if ((slots > 0) != group.has_room) {
+        continue;
+      }
+      expected += approval_rate * static_cast<double>(slots);
+      selected.push_back(worker->report.id);
     }
-    expected += approval_rate * static_cast<double>(slots);
-    selected.push_back(*id);
   }
   return selected;
 }
--- a/libs/cell/src/batches.cc
+++ b/libs/cell/src/batches.cc
@@ -37,19 +37,31 @@
   return progress;
 }
 
+auto Scheduler::Core::AddUnstoredCompletions(PendingBatch& batch) -> void {
+  std::erase_if(this->unstored_completions, [&](const WorkerId& id) {
+    const auto found = this->workers.find(id);
+    if (found == this->workers.end() ||
+        found->second.completions_seen <= found->second.completions_stored) {
+      return true;
+    }
+    const auto& worker = found->second;
+    batch.completions.emplace_back(WorkerIncarnation{id, worker.born_unix_ms},
+                                   worker.completions_seen);
+    return false;
+  });
+}
+
 auto Scheduler::Core::BuildBatch() -> std::optional<ProgressBatch> {
   if (this->pending_batches.size() >= kMaxPendingBatches) {
     return std::nullopt;
   }
-  const bool has_new_completions = std::any_of(
-      this->workers.begin(), this->workers.end(), [](const auto& entry) {
-        return entry.second.completions_seen > entry.second.completions_stored;
-      });
   if (this->dirty_jobs.empty()) {
-    if (has_new_completions &&
-        this->pending_batches.empty()) {  // No job record changes.
-      for (auto& [id, worker] : this->workers) {
-        worker.completions_stored = worker.completions_seen;
+    if (this->pending_batches.empty()) {  // No job record changes.
+      for (const auto& id : std::exchange(this->unstored_completions, {})) {
+        const auto found = this->workers.find(id);
+        if (found != this->workers.end()) {
+          found->second.completions_stored = found->second.completions_seen;
+        }
       }
     }
     return std::nullopt;
@@ -83,11 +95,8 @@
   this->dirty_jobs.erase(
       this->dirty_jobs.begin(),
       this->dirty_jobs.begin() + static_cast<std::ptrdiff_t>(job_count));
-  for (auto& [id, worker] : this->workers) {
-    if (has_all_jobs && worker.completions_seen > worker.completions_stored) {
-      pending.completions.emplace_back(
-          WorkerIncarnation{id, worker.born_unix_ms}, worker.completions_seen);
-    }
+  if (has_all_jobs) {
+    this->AddUnstoredCompletions(pending);
   }
   return batch;
 }
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -150,8 +150,7 @@
       }
       auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
       worker.tasks.emplace(task.name, &task);
-      worker.used += step.spec->demand;
-      this->organisation_usage[job.spec.organisation].used += step.spec->demand;
+      this->AddUsage(task, worker);
       job.placed_tasks++;
       task.stage = RunStage::kUnknown;
       task.next_send = now;
@@ -172,11 +171,12 @@
                     });
   }
   if (!occurrence.steps.empty()) {
+    auto& job = *occurrence.steps.front().job;
+    this->waiting_jobs.insert(&job);
     occurrence.remaining_path =
-        CriticalPathTime(occurrence.steps.front().job->spec.steps,
-                         [&occurrence](std::size_t step) {
-                           return occurrence.steps[step].unfinished == 0;
-                         });
+        CriticalPathTime(job.spec.steps, [&occurrence](std::size_t step) {
+          return occurrence.steps[step].unfinished == 0;
+        });
   }
 }
 
@@ -277,6 +277,7 @@
       return false;
     }
     this->recurring_jobs.erase(found->second.get());
+    this->waiting_jobs.erase(found->second.get());
     this->jobs.erase(found);
     return true;
   });
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -94,6 +94,8 @@
   StepAdvice advice;
   std::string name;
 
+  auto IsWaiting() const -> bool { return this->is_ready && this->waiting > 0; }
+
   auto HasNoRuns() const -> bool {
     for (const auto& task : this->tasks) {
       if (task.stage != RunStage::kNone) {
@@ -125,6 +127,18 @@
   bool is_cancelled = false;
   /// Exceeded the organisation's rate when accepted.
   bool exceeds_rate = false;
+
+  /// Whether tasks of a ready step are not placed.
+  auto HasWaitingStep() const -> bool {
+    for (const auto& occurrence : this->occurrences) {
+      for (const auto& step : occurrence.steps) {
+        if (step.IsWaiting()) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
 };
 
 }  // namespace shallotbank::cell
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -79,38 +79,36 @@
   return job.exceeds_rate ? kOverRateTier : kOnTimeTier;
 }
 
-auto Scheduler::Core::RankSteps(TimePoint now) -> std::vector<RankedStep> {
-  std::vector<RankedStep> ranked;
-  const auto is_waiting = [](const LiveStep& step) {
-    return step.is_ready && step.waiting > 0;
-  };
-  for (auto& [id, job] : this->jobs) {
-    if (IsFinal(job->state)) {
-      continue;
-    }
-    const QueuePolicy* queue = nullptr;
-    for (auto& occurrence : job->occurrences) {
-      if (std::none_of(occurrence.steps.begin(), occurrence.steps.end(),
-                       is_waiting)) {
-        continue;
-      }
-      queue = queue == nullptr ? this->QueueOf(*job) : queue;
-      if (queue == nullptr) {
-        break;
-      }
-      const auto allowance =
-          std::chrono::duration_cast<Duration>(job->critical_path *
-                                               queue->objective_stretch) +
-          queue->objective_slack;
-      const int tier = this->Tier(*job, occurrence, allowance, now);
-      for (auto& step : occurrence.steps) {
-        if (is_waiting(step)) {
-          ranked.push_back({tier, queue->priority, job->accepted_at + allowance,
-                            &step, queue});
-        }
+auto Scheduler::Core::RankStepsOf(LiveJob& job,
+                                  TimePoint now,
+                                  std::vector<RankedStep>& ranked) const
+    -> void {
+  const auto* queue = this->QueueOf(job);
+  if (queue == nullptr) {
+    return;
+  }
+  const auto allowance = std::chrono::duration_cast<Duration>(
+                             job.critical_path * queue->objective_stretch) +
+                         queue->objective_slack;
+  for (auto& occurrence : job.occurrences) {
+    const int tier = this->Tier(job, occurrence, allowance, now);
+    for (auto& step : occurrence.steps) {
+      if (step.IsWaiting()) {
+        ranked.push_back(
+            {tier, queue->priority, job.accepted_at + allowance, &step, queue});
       }
     }
   }
+}
+
+auto Scheduler::Core::RankSteps(TimePoint now) -> std::vector<RankedStep> {
+  std::erase_if(this->waiting_jobs, [](const LiveJob* job) {
+    return IsFinal(job->state) || !job->HasWaitingStep();
+  });
+  std::vector<RankedStep> ranked;
+  for (auto* job : this->waiting_jobs) {
+    this->RankStepsOf(*job, now, ranked);
+  }
   std::sort(ranked.begin(), ranked.end(),
             [](const RankedStep& a, const RankedStep& b) {
               return std::tie(a.tier, a.priority, a.objective, a.step->name) <
@@ -185,8 +183,9 @@
     }
   };
   if (!ranked.queue->advice) {
-    for (auto& [id, worker] : this->workers) {
-      add(worker);
+    for (const auto& entry :
+         this->free_cores.WorkersOf(ranked.queue->service)) {
+      add(*entry.worker);
     }
     return found;
   }
@@ -309,6 +308,9 @@
   if (now < ranked.step->not_before) {
     return WaitReason::kPause;
   }
+  if (!this->FitsLimit(*ranked.step->job, ranked.step->spec->demand)) {
+    return WaitReason::kLimit;
+  }
   const auto workers = this->EligibleWorkers(ranked, now);
   return ranked.step->spec->is_gang ? this->PlaceGang(ranked, workers, now)
                                     : this->PlaceSingles(ranked, workers, now);
@@ -353,19 +355,32 @@
   if (ranked.queue->advice && step.advice.tickets.empty()) {
     return permitted;
   }
-  for (auto& [id, worker] : this->workers) {
-    if (this->IsEligible(step, *ranked.queue, worker, now) &&
-        (!ranked.queue->advice || step.advice.tickets.contains(id))) {
+  const auto add = [&](LiveWorker& worker) {
+    if (this->IsEligible(step, *ranked.queue, worker, now)) {
       permitted.push_back(
           {this->CountSlots(step, worker, this->UnreservedResources(worker)),
            &worker});
     }
+  };
+  if (!ranked.queue->advice) {
+    for (const auto& entry :
+         this->free_cores.WorkersOf(ranked.queue->service)) {
+      add(*entry.worker);
+    }
+  }
+  for (const auto& [id, ticket] : step.advice.tickets) {
+    const auto worker = this->workers.find(id);
+    if (ranked.queue->advice && worker != this->workers.end()) {
+      add(worker->second);
+    }
   }
   std::sort(permitted.begin(), permitted.end(),
             [](const PermittedWorker& a, const PermittedWorker& b) {
-              return std::tuple(a.slots,
-                                a.worker->FreeResources().cores_milli) >
-                     std::tuple(b.slots, b.worker->FreeResources().cores_milli);
+              const auto free_cores = [](const PermittedWorker& worker) {
+                return worker.worker->FreeResources().cores_milli;
+              };
+              return std::tuple(a.slots, free_cores(a), b.worker->report.id) >
+                     std::tuple(b.slots, free_cores(b), a.worker->report.id);
             });
   return permitted;
 }
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -41,6 +41,22 @@
   return found->second;
 }
 
+auto Scheduler::Core::AddUsage(const LiveTask& task, LiveWorker& worker)
+    -> void {
+  const auto& demand = task.step->spec->demand;
+  worker.used += demand;
+  this->free_cores.Update(worker);
+  this->organisation_usage[task.step->job->spec.organisation].used += demand;
+}
+
+auto Scheduler::Core::RemoveUsage(const LiveTask& task, LiveWorker& worker)
+    -> void {
+  const auto& demand = task.step->spec->demand;
+  worker.used -= demand;
+  this->free_cores.Update(worker);
+  this->organisation_usage[task.step->job->spec.organisation].used -= demand;
+}
+
 auto Scheduler::Core::Assign(LiveTask& task, LiveWorker& worker, TimePoint now)
     -> void {
   auto& step = *task.step;
@@ -78,8 +94,7 @@
          {"configuration", std::to_string(this->configuration.version)}});
   }
   worker.tasks.emplace(task.name, &task);
-  worker.used += step.spec->demand;
-  this->organisation_usage[job.spec.organisation].used += step.spec->demand;
+  this->AddUsage(task, worker);
   this->MarkDirty(job);
 }
 
@@ -99,15 +114,19 @@
   auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
   auto& job = *task.step->job;
   worker.tasks.erase(task.name);
-  worker.used -= task.step->spec->demand;
-  this->organisation_usage[job.spec.organisation].used -=
-      task.step->spec->demand;
+  this->RemoveUsage(task, worker);
   job.placed_tasks--;
   task.stage = RunStage::kNone;
   task.stop_requested = false;
   this->needs_placement = true;
 }
 
+auto Scheduler::Core::ReturnToWaiting(LiveTask& task) -> void {
+  task.persistent.phase = TaskPhase::kWaiting;
+  task.step->waiting++;
+  this->waiting_jobs.insert(task.step->job);
+}
+
 auto Scheduler::Core::MarkDone(LiveTask& task) -> void {
   if (task.persistent.phase == TaskPhase::kDone) {
     return;
@@ -169,8 +188,7 @@
   if (task.persistent.phase == TaskPhase::kDone) {
     return;  // The completion of another member already completed the gang.
   }
-  task.persistent.phase = TaskPhase::kWaiting;
-  step.waiting++;
+  this->ReturnToWaiting(task);
   if (!checkpoint.empty()) {
     if (step.spec->is_gang) {
       for (auto& member : step.tasks) {
@@ -249,8 +267,7 @@
   if (task.persistent.phase == TaskPhase::kDone) {
     return;
   }
-  task.persistent.phase = TaskPhase::kWaiting;
-  step.waiting++;
+  this->ReturnToWaiting(task);
   if (step.spec->is_gang) {
     this->AbandonGang(step);
   }
@@ -263,8 +280,7 @@
   if (task.stage == RunStage::kStoring) {
     this->Unassign(task);
     if (task.persistent.phase == TaskPhase::kAssigned) {
-      task.persistent.phase = TaskPhase::kWaiting;
-      task.step->waiting++;
+      this->ReturnToWaiting(task);
     }
     return;
   }
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cell/scheduler.h"
+#include "free_cores_index.h"
 #include "live_job.h"
 #include "live_worker.h"
 
@@ -128,6 +129,9 @@
   auto QueueOf(const LiveJob& job) const -> const QueuePolicy*;
 
   // Defined in runs.cc.
+  /// Counts the task's demand as used by the worker and the organisation.
+  auto AddUsage(const LiveTask& task, LiveWorker& worker) -> void;
+  auto RemoveUsage(const LiveTask& task, LiveWorker& worker) -> void;
   auto Assign(LiveTask& task, LiveWorker& worker, TimePoint now) -> void;
   auto ConfirmStart(LiveTask& task, TimePoint now) -> void;
   auto Unassign(LiveTask& task) -> void;
@@ -142,6 +146,7 @@
   /// Returns the task to waiting after a run that never started or was lost.
   auto OnRunLost(LiveTask& task, const char* reason) -> void;
   auto MarkDone(LiveTask& task) -> void;
+  auto ReturnToWaiting(LiveTask& task) -> void;
   auto CountFailure(LiveTask& task) -> void;
   auto AbandonRun(LiveTask& task) -> void;
   auto AbandonGang(LiveStep& step) -> void;
@@ -168,6 +173,8 @@
 
   // Defined in workers.cc.
   auto GetOrAddWorker(const WorkerId& id) -> LiveWorker&;
+  auto EraseWorker(std::map<WorkerId, LiveWorker>::iterator worker)
+      -> std::map<WorkerId, LiveWorker>::iterator;
   auto ReconcileRuns(LiveWorker& worker,
                      const PollReply& reply,
                      TimePoint sent,
@@ -196,6 +203,10 @@
             Duration allowance,
             TimePoint now) const -> int;
   auto RankSteps(TimePoint now) -> std::vector<RankedStep>;
+  /// Adds the job's ready steps that have waiting tasks.
+  auto RankStepsOf(LiveJob& job,
+                   TimePoint now,
+                   std::vector<RankedStep>& ranked) const -> void;
   auto IsPlacementDue(TimePoint now) const -> bool;
   auto PlaceWaitingSteps(TimePoint now, Decisions& decisions) -> void;
   auto PlaceStep(const RankedStep& ranked, TimePoint now) -> WaitReason;
@@ -243,12 +254,15 @@
       -> std::vector<WorkerId>;
   auto SelectUnqueriedWorkers(const RankedStep& ranked, TimePoint now)
       -> std::vector<WorkerId>;
+  /// Learned share of the workers that may run a step of the queue.
+  auto ApprovalRate(const QueueName& queue) const -> double;
   auto ChooseAdvisor(Duration cost) const -> std::optional<std::size_t>;
   /// Total cost of the advisor's queries in flight.
   auto AdvisorBacklog(std::size_t advisor) const -> Duration;
 
   // Defined in batches.cc.
   auto BuildBatch() -> std::optional<ProgressBatch>;
+  auto AddUnstoredCompletions(PendingBatch& batch) -> void;
   auto ToProgress(const LiveJob& job) const -> JobProgress;
 
   auto AddNote(Event event,
@@ -259,11 +273,17 @@
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> jobs;
   /// Jobs with occurrences that have not begun.
   std::unordered_set<LiveJob*> recurring_jobs;
+  /// Jobs that may have ready steps with waiting tasks.
+  std::unordered_set<LiveJob*> waiting_jobs;
   std::map<WorkerId, LiveWorker> workers;
+  FreeCoresIndex free_cores;
   /// Workers with tasks that may need an order, see `ExpectOrder`.
   std::set<WorkerId> order_workers;
   /// Workers without a poll in flight.
   std::set<WorkerId> unpolled_workers;
+  /// Workers whose latest completions are not known to be stored; a worker may
+  /// remain for some time afterwards.
+  std::set<WorkerId> unstored_completions;
   std::unordered_map<OrganisationId, OrganisationUsage> organisation_usage;
   std::vector<LiveJob*> dirty_jobs;
   std::vector<JobId> ended_jobs;
@@ -271,6 +291,7 @@
   bool needs_placement = true;
   TimePoint last_placement_at;
   TimePoint paces_classified_at;
+  TimePoint leases_checked_at;
   int last_waiting_steps = 0;  ///< Number of waiting steps in the last pass.
 
   std::uint64_t next_sequence = 1;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds kMaxPollDelay{1000};
 /// Added to the end of a lease for the time that stopping takes.
 constexpr Milliseconds kLeaseMargin{300};
+/// Minimum time between two searches for expired leases.
+constexpr std::chrono::milliseconds kLeaseCheckInterval{100};
 /// A worker's clock may run 2% slow; a twentieth leaves a margin for clock
 /// steps.
 constexpr int kClockErrorDivisor = 20;
@@ -33,6 +35,14 @@
 /// A worker without an answer for this time gets no new tasks.
 constexpr std::chrono::milliseconds kUnresponsiveAfter{3200};
 
+/// Whether the answer to a poll that was sent before the lease ended may wait
+/// in this process; it may list completions.
+auto IsAnswerDue(const LiveWorker& worker) -> bool {
+  return worker.is_attached && worker.is_poll_in_flight &&
+         worker.ClockAtLeast(worker.poll_sent_at) <=
+             worker.lease_end + kLeaseMargin;
+}
+
 }  // namespace
 
 auto Scheduler::Core::GetOrAddWorker(const WorkerId& id) -> LiveWorker& {
@@ -47,6 +57,13 @@
   return found->second;
 }
 
+auto Scheduler::Core::EraseWorker(
+    std::map<WorkerId, LiveWorker>::iterator worker)
+    -> std::map<WorkerId, LiveWorker>::iterator {
+  this->free_cores.Remove(worker->second);
+  return this->workers.erase(worker);
+}
+
 auto Scheduler::Core::OnWorker(const WorkerReport& report, TimePoint now)
     -> void {
   auto& worker = this->GetOrAddWorker(report.id);
@@ -54,6 +71,7 @@
       worker.born_unix_ms != 0 && report.born_unix_ms > worker.born_unix_ms;
   worker.is_listed = true;
   worker.report = report;
+  this->free_cores.Update(worker);
   if (is_new_incarnation) {
     this->OnNewIncarnation(worker, report.born_unix_ms, now);
   }
@@ -68,7 +86,7 @@
   }
   found->second.is_listed = false;
   if (found->second.tasks.empty()) {
-    this->workers.erase(found);
+    this->EraseWorker(found);
   }
 }
 
@@ -201,6 +219,7 @@
       continue;
     }
     worker.completions_seen = end.number;
+    this->unstored_completions.insert(worker.report.id);
     auto* task = this->FindTask(worker.report.id, end.task, end.run);
     if (task != nullptr && task->stage != RunStage::kStoring) {
       if (end.how == EndKind::kDone) {
@@ -279,17 +298,18 @@
   }
   this->paces_classified_at = now;
   std::map<ServiceName, std::vector<WorkerPace*>> paces;
-  std::map<WorkerId, PaceClass> before;
+  std::vector<PaceClass> before;
   for (auto& [id, worker] : this->workers) {
     paces[worker.report.service].push_back(&worker.pace);
-    before[id] = worker.pace.kind;
+    before.push_back(worker.pace.kind);
   }
   for (const auto& [service, list] : paces) {
     ClassifyPaces(list, now);
   }
   static constexpr const char* kNames[] = {"usual", "slow", "stalling"};
+  auto former = before.begin();
   for (const auto& [id, worker] : this->workers) {
-    if (worker.pace.kind != before[id]) {
+    if (worker.pace.kind != *former++) {
       this->AddNote(Event::kWorkerPace,
                     {{"worker", id.Text()},
                      {"pace", kNames[static_cast<int>(worker.pace.kind)]},
@@ -342,19 +362,17 @@
 }
 
 auto Scheduler::Core::ReleaseExpiredLeases(TimePoint now) -> void {
+  if (now - this->leases_checked_at < kLeaseCheckInterval) {
+    return;
+  }
+  this->leases_checked_at = now;
   for (auto entry = this->workers.begin(); entry != this->workers.end();) {
     auto& worker = entry->second;
     const bool is_lapsed =
         worker.is_attached
             ? worker.ClockAtLeast(now) > worker.lease_end + kLeaseMargin
             : now > worker.unattached_lease_end;
-    // The answer to a poll sent before may wait in this process and list
-    // completions.
-    const bool is_answer_due =
-        worker.is_poll_in_flight && worker.ClockAtLeast(worker.poll_sent_at) <=
-                                        worker.lease_end + kLeaseMargin;
-    if (is_lapsed && !(worker.is_attached && is_answer_due) &&
-        !worker.tasks.empty()) {
+    if (is_lapsed && !worker.tasks.empty() && !IsAnswerDue(worker)) {
       std::vector<LiveTask*> lost;
       for (auto& [name, task] : worker.tasks) {
         lost.push_back(task);
@@ -367,7 +385,7 @@
     }
     const bool is_gone =
         !worker.is_listed && worker.tasks.empty() && !worker.is_poll_in_flight;
-    entry = is_gone ? this->workers.erase(entry) : std::next(entry);
+    entry = is_gone ? this->EraseWorker(entry) : std::next(entry);
   }
 }
 
