Wait for the server's count of requests in the HTTP tests

The server counts a request as completed after it has written the response, so the client may see the response first; OpenRequests says "not yet fully sent", and the daemons wait for 0 in a loop. The check was wrong, not the server.

Three checks of that kind now wait for the count, for at most 4 s, as server_connection_test did already.

--- a/libs/http/tests/late_answer_test.cc
+++ b/libs/http/tests/late_answer_test.cc
@@ -9,6 +9,7 @@
 #include "delayed_responder.h"
 #include "http/server.h"
 #include "late_answer_probe.h"
+#include "open_requests.h"
 #include "raw_socket.h"
 
 namespace shallotbank::http {
@@ -63,7 +64,7 @@
     BOOST_REQUIRE(second.ReadResponse().body == "second");
     BOOST_REQUIRE(second.Input().empty());
   }
-  BOOST_TEST(server.OpenRequests() == 0U);
+  BOOST_TEST(WaitUntilCompleted(server));
 }
 
 // Guards against a responder that is used after its server was destroyed.
--- a/libs/http/tests/server_connection_test.cc
+++ b/libs/http/tests/server_connection_test.cc
@@ -7,6 +7,7 @@
 
 #include "base/bounded_ring.h"
 #include "http/server.h"
+#include "open_requests.h"
 #include "raw_socket.h"
 
 namespace shallotbank::http {
@@ -38,13 +39,6 @@
   Server server;
 };
 
-auto WaitUntilCompleted(const Server& server) -> bool {
-  for (int i = 0; i < 2000 && server.OpenRequests() > 0; ++i) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(2));
-  }
-  return server.OpenRequests() == 0;
-}
-
 auto Pattern(std::size_t size) -> std::string {
   std::string text(size, '\0');
   for (std::size_t i = 0; i < size; ++i) {
@@ -144,7 +138,7 @@
   BOOST_TEST(sent >= 3);
   BOOST_TEST(sent < kRequests);
   BOOST_TEST(client.IsClosedWithin(kWait));
-  BOOST_TEST(deferring.server.OpenRequests() == 0U);
+  BOOST_TEST(WaitUntilCompleted(deferring.server));
   BOOST_TEST(metrics.Value("http_connections_closed_total", "byte_limit") ==
              1U);
 }
--- a/libs/http/tests/server_test.cc
+++ b/libs/http/tests/server_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/client.h"
+#include "open_requests.h"
 
 namespace shallotbank::http {
 namespace {
@@ -43,7 +44,7 @@
   Call call;
   call.url = Url(server, "/");
   BOOST_TEST(client.SendAndWait(call).status == 500);
-  BOOST_TEST(server.OpenRequests() == 0U);
+  BOOST_TEST(WaitUntilCompleted(server));
 }
 
 // Guards against a server that silently ends the process when its address is
