Compare host capacities with a tolerance in each respect

A host with four times the processor time of another but a link that is 1% slower counted as no larger, and so did one whose link is unknown.

A host is larger if it offers at least 1.5 times as much of something and the other does not offer 1.5 times as much of anything; unknown amounts decide nothing. Each step to a larger host raises the product of both amounts, so there are no cycles.

--- a/libs/cell/include/cell/host_capacity.h
+++ b/libs/cell/include/cell/host_capacity.h
@@ -12,8 +12,9 @@
   auto operator==(const HostCapacity&) const -> bool = default;
 };
 
-/// Returns whether `host` offers clearly more than `other` of something and no
-/// less of anything. Small differences do not justify a change of the leader.
+/// Returns whether `host` offers clearly more than `other` of something and
+/// clearly less of nothing. Small differences do not justify a change of the
+/// leader, and what is unknown decides nothing.
 auto IsMuchLarger(const HostCapacity& host, const HostCapacity& other) -> bool;
 
 }  // namespace shallotbank::cell
--- a/libs/cell/src/host_capacity.cc
+++ b/libs/cell/src/host_capacity.cc
@@ -10,10 +10,11 @@
 }  // namespace
 
 auto IsMuchLarger(const HostCapacity& host, const HostCapacity& other) -> bool {
-  return host.cores_milli >= other.cores_milli &&
-         host.link_kbits >= other.link_kbits &&
-         (IsMuchMore(host.cores_milli, other.cores_milli) ||
-          IsMuchMore(host.link_kbits, other.link_kbits));
+  const bool offers_more = IsMuchMore(host.cores_milli, other.cores_milli) ||
+                           IsMuchMore(host.link_kbits, other.link_kbits);
+  const bool offers_less = IsMuchMore(other.cores_milli, host.cores_milli) ||
+                           IsMuchMore(other.link_kbits, host.link_kbits);
+  return offers_more && !offers_less;
 }
 
 }  // namespace shallotbank::cell
