Split the cell daemon by responsibility

LeadershipPolicy now decides when to release leadership and sets the handicap and the claim delay, including the latency samples of the store. HostServers holds the servers for callers, health checks and peers, and WorkerEntries the workers of the store's topic. Constants moved with their code. No change of behaviour: log events, reasons, the order of the release checks and all times are the same. Only the election's handicap is now set after SetLeaderGone instead of before it; both only store a flag.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -1,9 +1,7 @@
 #include "cell_daemon.h"
 
 #include <algorithm>
-#include <functional>
 #include <random>
-#include <set>
 #include <thread>
 
 #include "base/log.h"
@@ -32,55 +30,14 @@
 /// A follower needs new jobs only to answer queries about them, which must work
 /// within 3 s of acceptance.
 constexpr std::chrono::milliseconds kFollowerJobsReadDelay(400);
-/// Leadership claims of hosts at the same distance from the store are spread
-/// over this time.
-constexpr std::chrono::milliseconds kClaimSpread(30);
-/// A host waits for this multiple of its round trip to the store before it
-/// claims leadership, so that the nearest host wins by more than the network
-/// jitter.
-constexpr int kClaimDelayFactor = 5;
-/// A longer round trip means that the store itself is slow; it says nothing
-/// about the network path to it.
-constexpr std::chrono::milliseconds kMaxNormalLatency(60);
-/// A leader releases leadership if another host's round trip to the store is
-/// this much shorter: each start and each completion of a task waits for the
-/// store once.
-constexpr std::chrono::milliseconds kMinLatencyGain(3);
-constexpr std::chrono::seconds kMinLeadershipTime(3);
-/// A host that knows a much larger one waits this much longer before it claims
-/// leadership, so that the larger one wins from any failure domain.
-constexpr std::chrono::milliseconds kSmallHostDelay(300);
-constexpr std::chrono::milliseconds kClaimDelayInterval(100);
-/// If no larger host takes over after a release, this host leads for at least
-/// this time before it releases leadership for that reason again.
-constexpr std::chrono::seconds kSizeYieldInterval(20);
-constexpr std::size_t kMinLatencySamples = 2;
 /// Part of the grace period that is reserved for closing connections and
 /// exiting.
 constexpr std::chrono::milliseconds kExitMargin(1200);
-/// The load balancer checks health once a second and sends no new connections
-/// after two failed checks.
-constexpr int kFailedChecksToLeaveRotation = 2;
-constexpr std::chrono::milliseconds kMaxBalancerWait(3000);
-constexpr std::chrono::milliseconds kBalancerPollInterval(20);
-constexpr std::chrono::milliseconds kArrivingConnectionsWait(100);
 constexpr std::chrono::milliseconds kLeaderAppendTimeout(800);
 constexpr std::chrono::milliseconds kSignalPollInterval(200);
 /// A host that has not read the jobs topic for this long fails its health
 /// check, so that callers are sent to other hosts.
 constexpr std::chrono::milliseconds kMaxJobsReadAge(2500);
-/// The platform's limit on file descriptors allows for two per connection.
-constexpr std::size_t kMaxCallerConnections = 1500;
-constexpr std::size_t kMaxPeerConnections = 200;
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
-auto ClaimSpreadOf(const std::string& host) -> Duration {
-  constexpr std::size_t kSteps = 16;
-  return kClaimSpread * (std::hash<std::string>{}(host) % kSteps) / kSteps;
-}
 
 auto NewProcessId() -> std::string {
   std::random_device random;
@@ -107,9 +64,22 @@
               {this->jobs, this->configuration, this->is_configured}),
       process(NewProcessId()),
       carrier(this->runtime, this->store, this->process),
+      workers(this->metrics,
+              this->carrier,
+              {[this](const auto& report) {
+                 if (this->leader) {
+                   this->leader->OnWorker(report);
+                 }
+               },
+               [this](const auto& id) {
+                 if (this->leader) {
+                   this->leader->OnWorkerGone(WorkerId(id));
+                 }
+               }}),
       election(this->settings.host,
                this->process,
-               kMaxNormalLatency * kClaimDelayFactor),
+               LeadershipPolicy::InitialClaimDelay()),
+      policy(this->runtime, this->store, this->peers, this->election),
       feed(this->runtime, this->store, this->peers),
       configuration_topic(
           this->runtime,
@@ -128,8 +98,8 @@
           this->store,
           adapter::kWorkersTopic,
           kWorkersReadDelay,
-          {[this](const auto& records) { this->OnWorkersSnapshot(records); },
-           [this](const auto& record) { this->OnWorkerRecord(record); },
+          {[this](const auto& records) { this->workers.OnSnapshot(records); },
+           [this](const auto& record) { this->workers.OnRecord(record); },
            [](Offset, TimePoint) {}}),
       jobs_topic(
           this->runtime,
@@ -188,7 +158,18 @@
                      }
                    },
                    [this](const auto& record) { this->OnHostRecord(record); },
-                   [](Offset, TimePoint) {}}) {}
+                   [](Offset, TimePoint) {}}),
+      servers(this->runtime,
+              {this->service, this->store, this->writer, this->carrier,
+               [this](const auto& message) {
+                 this->OnProgressUpdates(message.batch->updates);
+                 this->feed.Forward(message);
+               },
+               [this](const auto& batch) {
+                 if (this->leader) {
+                   this->leader->OnCarriedReplies(batch);
+                 }
+               }}) {}
 
 CellDaemon::~CellDaemon() = default;
 
@@ -265,53 +246,6 @@
   }
 }
 
-auto CellDaemon::RemoveWorker(const std::string& id) -> void {
-  this->carrier.RemoveWorker(id);
-  if (this->workers.erase(id) > 0 && this->leader) {
-    this->leader->OnWorkerGone(WorkerId(id));
-  }
-}
-
-auto CellDaemon::OnWorkersSnapshot(
-    const std::vector<adapter::KeyedRecord>& records) -> void {
-  std::set<std::string> listed_ids;
-  for (const auto& record : records) {
-    listed_ids.insert(record.key);
-    this->OnWorkerRecord(record);
-  }
-  std::vector<std::string> removed_ids;
-  for (const auto& [id, worker] : this->workers) {
-    if (!listed_ids.contains(id)) {
-      removed_ids.push_back(id);
-    }
-  }
-  for (const auto& id : removed_ids) {
-    this->RemoveWorker(id);
-  }
-}
-
-auto CellDaemon::OnWorkerRecord(const adapter::KeyedRecord& record) -> void {
-  auto& latest_offset = this->worker_offsets[record.key];
-  if (record.offset < latest_offset) {
-    return;  // A stale entry that was read after a newer one.
-  }
-  latest_offset = record.offset;
-  auto report = record.value ? adapter::ParseWorker(record.key, *record.value)
-                             : std::nullopt;
-  if (!report) {
-    if (record.value) {
-      this->metrics.Add("worker_entries_ignored_total");
-    }
-    this->RemoveWorker(record.key);
-    return;
-  }
-  this->carrier.SetWorker(record.key, report->address);
-  if (this->leader) {
-    this->leader->OnWorker(*report);
-  }
-  this->workers[record.key] = std::move(*report);
-}
-
 auto CellDaemon::SendLeaderRecord(const LeaderAppend& append) -> void {
   adapter::AppendRequest request;
   request.topic = kLeaderTopic;
@@ -338,37 +272,15 @@
   if (this->leader && this->leader->IsFenced()) {
     this->election.OnFenced();
   }
-  const bool is_isolated = this->peers.IsIsolated(now);
-  const bool is_impaired = this->store.IsImpaired(now);
-  this->election.SetHandicap(is_isolated || is_impaired);
   const auto leader_process =
       this->peers.ProcessOf(this->election.LeaderHost());
   this->election.SetLeaderGone(!leader_process.empty() &&
                                leader_process !=
                                    this->election.LeaderProcess());
-  const auto& leader_host = this->election.LeaderHost();
-  if (!leader_host.empty() && leader_host != this->settings.host) {
-    this->yielded_to_larger_at = TimePoint();
-  }
-  if (this->election.IsLeader()) {
-    if (is_isolated) {
-      // A leader depends on the other hosts for most of its work.
-      this->ReleaseLeadership("isolated", now);
-    } else if (is_impaired) {
-      // This host reaches the store only through peers, so any of them is a
-      // better leader.
-      this->ReleaseLeadership("store-out-of-reach", now);
-    } else if (this->ShouldYieldToLargerPeer(now)) {
-      this->yielded_to_larger_at = now;
-      this->ReleaseLeadership("small-host", now);
-    } else if (this->IsPeerNearerToStore(now)) {
-      this->ReleaseLeadership("far-from-store", now);
-    }
-  }
-  if (now >= this->next_claim_delay_update) {
-    this->next_claim_delay_update = now + kClaimDelayInterval;
-    this->UpdateClaimDelay(now);
+  if (const auto reason = this->policy.CheckRelease(now)) {
+    this->ReleaseLeadership(*reason, now);
   }
+  this->policy.UpdateClaimDelay(now);
   if (const auto append = this->election.NextAppend(now)) {
     this->SendLeaderRecord(*append);
   }
@@ -383,41 +295,6 @@
   this->election.Yield(now);
 }
 
-auto CellDaemon::ShouldYieldToLargerPeer(TimePoint now) const -> bool {
-  const bool has_tried_lately =
-      this->yielded_to_larger_at != TimePoint() &&
-      now - this->yielded_to_larger_at < kSizeYieldInterval;
-  return now - this->leading_since > kMinLeadershipTime && !has_tried_lately &&
-         this->peers.HasLargerPeer(this->settings.capacity, now);
-}
-
-auto CellDaemon::IsPeerNearerToStore(TimePoint now) const -> bool {
-  const auto best = this->peers.BestStoreLatency(this->settings.capacity, now);
-  return this->store_latency && best &&
-         now - this->leading_since > kMinLeadershipTime &&
-         this->latency_samples.size() >= kMinLatencySamples &&
-         *this->store_latency < kMaxNormalLatency &&
-         this->latency_samples.back() < kMaxNormalLatency &&
-         *best * 3 / 2 + kMinLatencyGain < *this->store_latency;
-}
-
-auto CellDaemon::RecordStoreLatency(Duration latency) -> void {
-  this->latency_samples.push_back(
-      std::chrono::ceil<std::chrono::microseconds>(latency));
-  this->store_latency = *std::min_element(this->latency_samples.begin(),
-                                          this->latency_samples.end());
-}
-
-auto CellDaemon::UpdateClaimDelay(TimePoint now) -> void {
-  const auto capped_latency = std::min<Duration>(
-      this->store_latency.value_or(kMaxNormalLatency), kMaxNormalLatency);
-  this->election.SetClaimDelay(
-      capped_latency * kClaimDelayFactor + ClaimSpreadOf(this->settings.host) +
-      (this->peers.HasLargerPeer(this->settings.capacity, now)
-           ? Duration(kSmallHostDelay)
-           : Duration()));
-}
-
 auto CellDaemon::TickLeader(TimePoint now) -> void {
   const auto epoch = this->election.OwnEpoch();
   if (this->leader && this->leader->GetEpoch() != epoch) {
@@ -443,11 +320,12 @@
           this->feed.Publish(updates);
         });
     this->leader->FencePreviousLeader();
-    this->leading_since = now;
+    this->policy.OnLeading(now);
   }
-  this->leader->Tick(
-      {this->jobs, this->configuration, this->workers, this->jobs_caught_up_at},
-      this->progress_topic.Position(), this->election.HasLeaseAuthority(now));
+  this->leader->Tick({this->jobs, this->configuration, this->workers.Workers(),
+                      this->jobs_caught_up_at},
+                     this->progress_topic.Position(),
+                     this->election.HasLeaseAuthority(now));
 }
 
 auto CellDaemon::CollectorEndpoint(TimePoint now) const -> std::string {
@@ -478,10 +356,10 @@
   request.topic = kHostsTopic;
   adapter::KeyedRecord record{this->settings.host, std::nullopt};
   if (!this->is_stopping) {
-    record.value =
-        EncodeAnnouncement({this->settings.peers.Text(), this->process,
-                            std::to_string(now.time_since_epoch().count()),
-                            this->store_latency, this->settings.capacity});
+    record.value = EncodeAnnouncement(
+        {this->settings.peers.Text(), this->process,
+         std::to_string(now.time_since_epoch().count()),
+         this->policy.StoreLatency(), this->settings.capacity});
   }
   request.records = {record};
   this->store.Send(adapter::MakeAppendCall(this->settings.store, request),
@@ -490,7 +368,7 @@
       adapter::MakeSnapshotCall(this->settings.store, kLeaderTopic, ""),
       [this, sent = now](const http::Reply& reply) {
         if (reply.IsSuccess()) {
-          this->RecordStoreLatency(this->runtime.clock.Now() - sent);
+          this->policy.RecordStoreLatency(this->runtime.clock.Now() - sent);
         }
       });
 }
@@ -499,7 +377,7 @@
   const bool has_view = this->is_configured && this->jobs_topic.IsCaughtUp() &&
                         this->progress_topic.IsCaughtUp() &&
                         now - this->jobs_topic.LastRead() < kMaxJobsReadAge;
-  this->is_healthy = has_view && !this->is_stopping;
+  this->servers.SetHealthy(has_view && !this->is_stopping);
 }
 
 auto CellDaemon::GetProgressRole() const -> ProgressRole {
@@ -541,7 +419,7 @@
 
 auto CellDaemon::BeginStop() -> void {
   this->is_stopping = true;
-  this->is_healthy = false;
+  this->servers.SetHealthy(false);
   const auto epoch = this->election.OwnEpoch();
   if (this->election.Retire(this->runtime.clock.Now())) {
     // Stops sending orders before the release, so that none of them interferes
@@ -553,108 +431,6 @@
   this->next_announce = TimePoint();
 }
 
-auto CellDaemon::StartServers() -> leaf::result<void> {
-  http::ServerOptions options;
-  options.threads = 1;
-  options.address = this->settings.callers.address;
-  options.port = this->settings.callers.port;
-  options.max_connections = kMaxCallerConnections;
-  options.metrics = &this->metrics;
-  this->caller_server = std::make_unique<http::Server>(
-      options, [this](http::Request request, http::Responder responder) {
-        auto shared = std::make_shared<http::Responder>(std::move(responder));
-        auto kept = std::make_shared<http::Request>(std::move(request));
-        const bool is_posted = this->loop.Post([this, shared, kept] {
-          const auto serving = this->busy.Measure(Duty::kCallers);
-          this->service.Handle(*kept, std::move(*shared));
-        });
-        if (!is_posted) {
-          this->metrics.Add("refusals_total", "core-queue-full");
-          shared->Send({kUnavailable, {{"Retry-After", "1"}}, ""});
-        }
-      });
-  BOOST_LEAF_CHECK(this->caller_server->Start());
-
-  options.address = this->settings.health.address;
-  options.port = this->settings.health.port;
-  options.max_connections = kMaxPeerConnections;
-  this->health_server = std::make_unique<http::Server>(
-      options, [this](const http::Request& request, http::Responder responder) {
-        const bool is_ok =
-            request.path == adapter::kHealthPath && this->is_healthy;
-        this->failed_health_checks += is_ok ? 0 : 1;
-        responder.Send({is_ok ? kOk : kUnavailable, {}, ""});
-      });
-  BOOST_LEAF_CHECK(this->health_server->Start());
-
-  options.address = this->settings.peers.address;
-  options.port = this->settings.peers.port;
-  this->peer_server = std::make_unique<http::Server>(
-      options, [this](const http::Request& request, http::Responder responder) {
-        if (request.path == kRelayPath) {
-          this->store.Relay(request, std::move(responder));
-        } else if (request.path == kRecordsPath) {
-          this->HandleRecords(request, std::move(responder));
-        } else if (request.path == kProgressUpdatesPath) {
-          this->HandleProgressUpdates(request, std::move(responder));
-        } else if (request.path == kOrdersPath) {
-          this->carrier.Handle(request, std::move(responder));
-        } else if (request.path == kOrderRepliesPath) {
-          this->HandleOrderReplies(request, std::move(responder));
-        } else if (request.path == "/metrics") {
-          responder.Send(
-              {kOk, {{"Content-Type", "text/plain"}}, this->metrics.Expose()});
-        } else {
-          responder.Send({kNotFound, {}, ""});
-        }
-      });
-  BOOST_LEAF_CHECK(this->peer_server->Start());
-  return {};
-}
-
-auto CellDaemon::HandleRecords(const http::Request& request,
-                               http::Responder responder) -> void {
-  auto shared = std::make_shared<http::Responder>(std::move(responder));
-  auto kept = std::make_shared<http::Request>(request);
-  const bool is_posted = this->loop.Post(
-      [this, shared, kept] { this->writer.WriteForPeer(*kept, shared); });
-  if (!is_posted) {
-    this->metrics.Add("refusals_total", "core-queue-full");
-    shared->Send({kUnavailable, {}, ""});
-  }
-}
-
-auto CellDaemon::HandleProgressUpdates(const http::Request& request,
-                                       http::Responder responder) -> void {
-  auto message = DecodeProgressMessage(request.body);
-  if (!message) {
-    responder.Send({kBadRequest, {}, "not news of progress"});
-    return;
-  }
-  const bool is_posted = this->loop.Post(
-      [this, kept = std::make_shared<ProgressMessage>(std::move(*message))] {
-        this->OnProgressUpdates(kept->batch->updates);
-        this->feed.Forward(*kept);
-      });
-  responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
-}
-
-auto CellDaemon::HandleOrderReplies(const http::Request& request,
-                                    http::Responder responder) -> void {
-  auto batch = DecodeReplyBatch(request.body);
-  if (!batch) {
-    responder.Send({kBadRequest, {}, "not a batch of replies"});
-    return;
-  }
-  const bool is_posted = this->loop.Post(
-      [this, kept = std::make_shared<ReplyBatch>(std::move(*batch))] {
-        if (this->leader) {
-          this->leader->OnCarriedReplies(*kept);
-        }
-      });
-  responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
-}
-
 auto CellDaemon::RunCore() -> void {
   this->configuration_topic.Start();
   this->workers_topic.Start();
@@ -665,20 +441,8 @@
   this->loop.Run(kTickInterval, [this] { this->Tick(); });
 }
 
-auto CellDaemon::WaitForBalancer(TimePoint stopped_at) -> void {
-  const auto before = this->failed_health_checks.load();
-  const auto longest =
-      std::min<Duration>(kMaxBalancerWait, this->settings.stop_grace / 2);
-  while (this->failed_health_checks - before < kFailedChecksToLeaveRotation &&
-         this->runtime.clock.Now() - stopped_at < longest) {
-    std::this_thread::sleep_for(kBalancerPollInterval);
-  }
-  // Connections opened before the last health check may still be arriving.
-  std::this_thread::sleep_for(kArrivingConnectionsWait);
-}
-
 auto CellDaemon::Run() -> leaf::result<int> {
-  BOOST_LEAF_CHECK(this->StartServers());
+  BOOST_LEAF_CHECK(this->servers.Start());
   std::thread core([this] { this->RunCore(); });
   auto signal = ProcessSignal::kNone;
   while (signal != ProcessSignal::kStop) {
@@ -688,21 +452,19 @@
     }
   }
   LogEvent(Event::kProcessStopping,
-           {{"open", std::to_string(this->caller_server->OpenRequests())}});
+           {{"open", std::to_string(this->servers.OpenRequests())}});
   this->loop.Post([this] { this->BeginStop(); });
   const auto stopped_at = this->runtime.clock.Now();
-  this->WaitForBalancer(stopped_at);
+  this->servers.WaitForBalancer(stopped_at);
   const auto spent = this->runtime.clock.Now() - stopped_at;
-  const auto left = this->caller_server->Drain(this->settings.stop_grace -
+  const auto left = this->servers.DrainCallers(this->settings.stop_grace -
                                                kExitMargin - spent);
   if (left > 0) {
     LogEvent(Event::kDrainDeadlinePassed, {{"open", std::to_string(left)}});
   }
   this->loop.Stop();
   core.join();
-  this->caller_server->Stop();
-  this->health_server->Stop();
-  this->peer_server->Stop();
+  this->servers.Stop();
   return kExitOk;
 }
 
--- /dev/null
+++ b/apps/cell/leadership_policy.cc
@@ -0,0 +1,122 @@
+#include "leadership_policy.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace shallotbank::cell {
+namespace {
+
+/// Leadership claims of hosts at the same distance from the store are spread
+/// over this time.
+constexpr std::chrono::milliseconds kClaimSpread(30);
+/// A host waits for this multiple of its round trip to the store before it
+/// claims leadership, so that the nearest host wins by more than the network
+/// jitter.
+constexpr int kClaimDelayFactor = 5;
+/// A longer round trip means that the store itself is slow; it says nothing
+/// about the network path to it.
+constexpr std::chrono::milliseconds kMaxNormalLatency(60);
+/// A leader releases leadership if another host's round trip to the store is
+/// this much shorter: each start and each completion of a task waits for the
+/// store once.
+constexpr std::chrono::milliseconds kMinLatencyGain(3);
+constexpr std::chrono::seconds kMinLeadershipTime(3);
+/// A host that knows a much larger one waits this much longer before it claims
+/// leadership, so that the larger one wins from any failure domain.
+constexpr std::chrono::milliseconds kSmallHostDelay(300);
+constexpr std::chrono::milliseconds kClaimDelayInterval(100);
+/// If no larger host takes over after a release, this host leads for at least
+/// this time before it releases leadership for that reason again.
+constexpr std::chrono::seconds kSizeYieldInterval(20);
+constexpr std::size_t kMinLatencySamples = 2;
+
+auto ClaimSpreadOf(const std::string& host) -> Duration {
+  constexpr std::size_t kSteps = 16;
+  return kClaimSpread * (std::hash<std::string>{}(host) % kSteps) / kSteps;
+}
+
+}  // namespace
+
+LeadershipPolicy::LeadershipPolicy(Runtime& runtime,
+                                   StoreGateway& store,
+                                   PeerDirectory& peers,
+                                   Election& election)
+    : runtime(runtime), store(store), peers(peers), election(election) {}
+
+auto LeadershipPolicy::InitialClaimDelay() -> Duration {
+  return kMaxNormalLatency * kClaimDelayFactor;
+}
+
+auto LeadershipPolicy::CheckRelease(TimePoint now)
+    -> std::optional<std::string> {
+  const bool is_isolated = this->peers.IsIsolated(now);
+  const bool is_impaired = this->store.IsImpaired(now);
+  this->election.SetHandicap(is_isolated || is_impaired);
+  const auto& leader_host = this->election.LeaderHost();
+  if (!leader_host.empty() && leader_host != this->runtime.host.host) {
+    this->yielded_to_larger_at = TimePoint();
+  }
+  if (!this->election.IsLeader()) {
+    return std::nullopt;
+  }
+  if (is_isolated) {
+    // A leader depends on the other hosts for most of its work.
+    return "isolated";
+  }
+  if (is_impaired) {
+    // This host reaches the store only through peers, so any of them is a
+    // better leader.
+    return "store-out-of-reach";
+  }
+  if (this->ShouldYieldToLargerPeer(now)) {
+    this->yielded_to_larger_at = now;
+    return "small-host";
+  }
+  if (this->IsPeerNearerToStore(now)) {
+    return "far-from-store";
+  }
+  return std::nullopt;
+}
+
+auto LeadershipPolicy::ShouldYieldToLargerPeer(TimePoint now) const -> bool {
+  const bool has_tried_lately =
+      this->yielded_to_larger_at != TimePoint() &&
+      now - this->yielded_to_larger_at < kSizeYieldInterval;
+  return now - this->leading_since > kMinLeadershipTime && !has_tried_lately &&
+         this->peers.HasLargerPeer(this->runtime.host.capacity, now);
+}
+
+auto LeadershipPolicy::IsPeerNearerToStore(TimePoint now) const -> bool {
+  const auto best =
+      this->peers.BestStoreLatency(this->runtime.host.capacity, now);
+  return this->store_latency && best &&
+         now - this->leading_since > kMinLeadershipTime &&
+         this->latency_samples.size() >= kMinLatencySamples &&
+         *this->store_latency < kMaxNormalLatency &&
+         this->latency_samples.back() < kMaxNormalLatency &&
+         *best * 3 / 2 + kMinLatencyGain < *this->store_latency;
+}
+
+auto LeadershipPolicy::RecordStoreLatency(Duration latency) -> void {
+  this->latency_samples.push_back(
+      std::chrono::ceil<std::chrono::microseconds>(latency));
+  this->store_latency = *std::min_element(this->latency_samples.begin(),
+                                          this->latency_samples.end());
+}
+
+auto LeadershipPolicy::UpdateClaimDelay(TimePoint now) -> void {
+  if (now < this->next_claim_delay_update) {
+    return;
+  }
+  this->next_claim_delay_update = now + kClaimDelayInterval;
+  const auto capped_latency = std::min<Duration>(
+      this->store_latency.value_or(kMaxNormalLatency), kMaxNormalLatency);
+  this->election.SetClaimDelay(
+      capped_latency * kClaimDelayFactor +
+      ClaimSpreadOf(this->runtime.host.host) +
+      (this->peers.HasLargerPeer(this->runtime.host.capacity, now)
+           ? Duration(kSmallHostDelay)
+           : Duration()));
+}
+
+}  // namespace shallotbank::cell
