--- a/libs/cell/tests/scheduler_fixture.h
+++ b/libs/cell/tests/scheduler_fixture.h
@@ -11,6 +11,15 @@
 
 namespace shallotbank::cell {
 
+inline auto Ended(const StartOrder& order, EndKind how, std::uint64_t number)
+    -> EndedTask {
+  return {number, order.task, order.run, how, ""};
+}
+
+inline auto RunningAs(const StartOrder& order, int percent = 0) -> RunningTask {
+  return {order.task, order.run, "", percent};
+}
+
 /// A scheduler with one queue, without advice unless a test sets it, on a clock
 /// that only tests advance.
 class SchedulerFixture {
