Move the leader's metrics and log lines to LeaderReport

Metric names, fields of the log lines, their order and the interval are unchanged: the literals, events and duties of the moved code are the same sequence before and after.

--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -32,14 +32,6 @@
 constexpr std::chrono::seconds kRetentionMargin(60);
 constexpr std::chrono::seconds kDeletionInterval(5);
 constexpr std::size_t kMaxDeletions = 200;
-/// Each report is one log line. The interval is short enough to see a backlog
-/// grow.
-constexpr std::chrono::seconds kReportInterval(1);
-
-auto ToMilliseconds(Duration time) -> std::string {
-  return std::to_string(
-      std::chrono::floor<std::chrono::milliseconds>(time).count());
-}
 
 auto CountRefusedStart(Metrics& metrics, OrderOutcome outcome) -> void {
   switch (outcome) {
@@ -81,7 +73,8 @@
       previous_authority_end(previous_authority_end),
       on_progress_stored(std::move(on_progress_stored)),
       lifetime(std::make_shared<bool>(true)),
-      dispatcher(runtime, store, peers, epoch) {}
+      dispatcher(runtime, store, peers, epoch),
+      report(runtime, epoch) {}
 
 Leader::~Leader() = default;
 
@@ -230,58 +223,8 @@
     this->SendBatches();
   }
   this->DeleteExpiredJobs(view, now);
-  this->ReportState(now);
-}
-
-auto Leader::ReportState(TimePoint now) -> void {
-  if (now < this->next_report) {
-    return;
-  }
-  this->next_report = now + kReportInterval;
-  const auto counts = this->scheduler->Count();
-  auto& metrics = this->runtime.metrics;
-  metrics.Set("cell_jobs", static_cast<double>(counts.jobs));
-  metrics.Set("cell_waiting_tasks", static_cast<double>(counts.waiting_tasks));
-  metrics.Set("cell_cores_capacity",
-              static_cast<double>(counts.cores_capacity));
-  metrics.Set("cell_cores_used", static_cast<double>(counts.cores_used));
-  metrics.Set("cell_advice_queries_open",
-              static_cast<double>(counts.advice_queries));
-  LogEvent(Event::kSchedulerState,
-           {{"epoch", std::to_string(this->epoch)},
-            {"jobs", std::to_string(counts.jobs)},
-            {"waiting_tasks", std::to_string(counts.waiting_tasks)},
-            {"assigned_tasks", std::to_string(counts.assigned_tasks)},
-            {"workers", std::to_string(counts.attached_workers)},
-            {"cores", std::to_string(counts.cores_capacity)},
-            {"cores_used", std::to_string(counts.cores_used)},
-            {"advice_open", std::to_string(counts.advice_queries)},
-            {"advisors", std::to_string(this->advisors.size())}});
-  this->ReportLoad();
-}
-
-auto Leader::ReportLoad() -> void {
-  const auto& busy = this->runtime.busy;
-  const auto workers = this->dispatcher.DirectStats();
-  const auto others = this->runtime.client.Stats();
-  const auto lag = this->runtime.loop.TakeMaxTickDelay();
-  this->runtime.metrics.Observe("core_loop_lag_seconds", lag);
-  LogEvent(
-      Event::kLeaderLoad,
-      {{"epoch", std::to_string(this->epoch)},
-       {"callers_ms", ToMilliseconds(busy.Total(Duty::kCallers))},
-       {"store_replies_ms", ToMilliseconds(busy.Total(Duty::kStoreReplies))},
-       {"worker_replies_ms", ToMilliseconds(busy.Total(Duty::kWorkerReplies))},
-       {"deciding_ms", ToMilliseconds(busy.Total(Duty::kDeciding))},
-       {"sending_ms", ToMilliseconds(busy.Total(Duty::kSending))},
-       {"feeding_ms", ToMilliseconds(busy.Total(Duty::kFeeding))},
-       {"worker_calls", std::to_string(workers.calls)},
-       {"worker_client_wakeups", std::to_string(workers.wakeups)},
-       {"worker_client_ms", ToMilliseconds(workers.busy)},
-       {"other_calls", std::to_string(others.calls)},
-       {"other_client_wakeups", std::to_string(others.wakeups)},
-       {"other_client_ms", ToMilliseconds(others.busy)},
-       {"max_tick_delay_ms", ToMilliseconds(lag)}});
+  this->report.Tick(*this->scheduler, this->dispatcher, this->advisors.size(),
+                    now);
 }
 
 auto Leader::Execute(Decisions decisions) -> void {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -12,6 +12,7 @@
 #include "cell/peer_directory.h"
 #include "cell/records.h"
 #include "cell/scheduler.h"
+#include "leader_report.h"
 #include "order_dispatcher.h"
 #include "runtime.h"
 #include "store_gateway.h"
@@ -76,9 +77,6 @@
   auto OnBatchStored(std::uint64_t number) -> void;
   auto PublishProgress(std::uint64_t number, Offset offset) -> void;
   auto DeleteExpiredJobs(const View& view, TimePoint now) -> void;
-  auto ReportState(TimePoint now) -> void;
-  /// Logs what the processor time of this host was spent on.
-  auto ReportLoad() -> void;
 
   Runtime& runtime;
   StoreGateway& store;
@@ -90,6 +88,7 @@
   // the epoch has ended are ignored.
   std::shared_ptr<bool> lifetime;
   OrderDispatcher dispatcher;
+  LeaderReport report;
   std::optional<Offset> first_own_offset;
   TimePoint fenced_at;  ///< When the previous leader was fenced off.
   std::unique_ptr<Scheduler> scheduler;
@@ -112,7 +111,6 @@
   bool is_fencing_in_flight = false;
   TimePoint next_fencing;
   TimePoint next_deletion;
-  TimePoint next_report;
 };
 
 }  // namespace shallotbank::cell
