--- a/libs/http/tests/drain_test.cc
+++ b/libs/http/tests/drain_test.cc
@@ -19,6 +19,7 @@
 // gets a complete response or is refused as not run.
 BOOST_AUTO_TEST_CASE(DrainUnderLoadCompletesRequests) {
   constexpr int kCallers = 16;
+  constexpr std::size_t kMinCompleted = 100;
   DelayedResponder delayed_responder;
   std::atomic<std::size_t> handled = 0;
   Server server({}, [&](const Request& request, Responder responder) {
@@ -52,7 +53,10 @@
       }
     });
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const auto latest_drain = SystemClock().Now() + kWait;
+  while (completed <= kMinCompleted && SystemClock().Now() < latest_drain) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   BOOST_TEST(server.Drain(kWait) == 0U);
   server.Stop();
   stopping = true;
@@ -61,7 +65,7 @@
   }
   BOOST_TEST(lost == 0U);
   BOOST_TEST(completed == handled);
-  BOOST_TEST(completed > 100U);
+  BOOST_TEST(completed > kMinCompleted);
 }
 
 // Guards against a drain that waits for idle connections, drops the request of
