Order the steps of the drain test by events instead of delays

The test was wrong.

The server now holds the requests, the drain runs on a thread of its own, the late request is sent once the idle connection is closed, and the responses follow when it has arrived. All checks stay; one is added: the drain has not returned before the responses.

--- a/libs/http/tests/drain_test.cc
+++ b/libs/http/tests/drain_test.cc
@@ -1,9 +1,11 @@
 #include <atomic>
+#include <future>
 #include <thread>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "base/bounded_ring.h"
 #include "delayed_responder.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -68,34 +70,42 @@
   BOOST_TEST(completed > kMinCompleted);
 }
 
+auto Respond(BoundedRing<Responder>& arrived) -> void {
+  auto responder = arrived.Pop(kWait);
+  BOOST_REQUIRE(responder.has_value());
+  responder->Send({200, {}, ""});
+}
+
 // Guards against a drain that waits for idle connections, drops the request of
 // a persistent one, or returns before the last response.
 BOOST_AUTO_TEST_CASE(DrainServesAndClosesPersistentConnections) {
-  DelayedResponder delayed_responder;
-  Server server({}, [&](const Request& request, Responder responder) {
-    delayed_responder.SendAfter(std::chrono::milliseconds(200),
-                                {200, {}, request.path}, std::move(responder));
+  BoundedRing<Responder> arrived(4);
+  Server server({}, [&](const Request&, Responder responder) {
+    arrived.TryPush(std::move(responder));
   });
   BOOST_REQUIRE(server.Start());
   auto idle = RawSocket::Connect(server.Port());
   auto busy = RawSocket::Connect(server.Port());
   busy.Send(kRequest);
+  Respond(arrived);
   BOOST_TEST(busy.ReadResponse().header.find("close") == std::string::npos);
   busy.Send(kRequest);
-  while (server.OpenRequests() == 0) {
-    std::this_thread::yield();
-  }
-  std::thread late([&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    busy.Send(kRequest);  // Pipelined behind the one in flight.
-  });
-  BOOST_TEST(server.Drain(kWait) == 0U);
-  late.join();
+  auto in_flight = arrived.Pop(kWait);
+  BOOST_REQUIRE(in_flight.has_value());
+  auto left =
+      std::async(std::launch::async, [&server] { return server.Drain(kWait); });
+  BOOST_TEST(idle.IsClosedWithin(kWait));
+  busy.Send(kRequest);  // Pipelined behind the one in flight.
+  auto late = arrived.Pop(kWait);
+  BOOST_REQUIRE(late.has_value());
+  BOOST_TEST((left.wait_for(Duration()) == std::future_status::timeout));
+  in_flight->Send({200, {}, "in flight"});
+  late->Send({200, {}, "late"});
+  BOOST_TEST(left.get() == 0U);
   BOOST_TEST(busy.ReadResponse().header.find("close") == std::string::npos);
   BOOST_TEST(busy.ReadResponse().header.find("Connection: close") !=
              std::string::npos);
   BOOST_TEST(busy.IsClosedWithin(kWait));
-  BOOST_TEST(idle.IsClosedWithin(kWait));
   auto refused = RawSocket::Connect(server.Port());
   BOOST_TEST(!refused.Send(kRequest));
 }
