--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -24,8 +24,6 @@
 constexpr std::chrono::milliseconds kMaxBacklog{60};
 /// Queries above this cost leave some advisors free for short ones.
 constexpr std::chrono::milliseconds kLongQueryCost{100};
-/// Short queries keep only a few advisors busy, however many there are.
-constexpr std::size_t kMaxReservedAdvisors = 4;
 /// Delay after the advisor was busy.
 constexpr std::chrono::milliseconds kBusyRetryDelay{200};
 /// Tickets are treated as expired this long before their end; see also
@@ -61,9 +59,7 @@
     backlog[i] = this->AdvisorBacklog(i);
   }
   const auto reserved_advisors =
-      cost > kLongQueryCost
-          ? std::min(this->advisor_count / 3, kMaxReservedAdvisors)
-          : std::size_t{0};
+      cost > kLongQueryCost ? this->advisor_count / 3 : std::size_t{0};
   std::optional<std::size_t> best;
   for (std::size_t i = reserved_advisors; i < backlog.size(); i++) {
     if (!best || backlog[i] < backlog[*best]) {
