--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -64,16 +64,29 @@
 
 enum class TaskPhase { kWaiting, kAssigned, kDone };
 
+/// When a leader assigned a run. Later values are later, also across leaders.
+struct AssignmentTime {
+  Epoch epoch = 0;      ///< Of the leader.
+  Milliseconds term{};  ///< Since the leader took over.
+
+  auto operator<=>(const AssignmentTime&) const = default;
+};
+
 /// Stored progress of a task.
 struct TaskProgress {
   TaskPhase phase = TaskPhase::kWaiting;
   int run = 0;          ///< Number of the latest run; 0 before the first.
   int failed_runs = 0;  ///< Runs that ended with a failure.
-  /// Workers that crashed right after they had started the task.
+  /// Workers that crashed right after they had started the task, since it was
+  /// last seen to work.
   int crashes = 0;
-  int crashed_run = 0;       ///< The latest run that is counted there.
+  /// Workers that crashed when the run may not have begun, or may have been
+  /// old.
+  int possible_crashes = 0;
+  int crashed_run = 0;       ///< The latest run that is counted in either.
   WorkerIncarnation worker;  ///< Of the latest run, while the task is assigned.
-  std::string checkpoint;    ///< Where the next run resumes; empty if none.
+  AssignmentTime assigned_at;  ///< Of the latest run, while it is assigned.
+  std::string checkpoint;      ///< Where the next run resumes; empty if none.
 };
 
 /// Progress of one occurrence of a job's steps.
--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -7,12 +7,18 @@
 namespace {
 
 /// A task is given up once so many workers have crashed right after they had
-/// started it, if it was the only recent start on the last of them.
+/// started it, if it was the only recent start on the last of them. A crash
+/// that is only possibly its fault counts half.
 constexpr int kCrashesOfCause = 2;
-/// A task is given up after so many crashes even if other starts were as
-/// recent. Suspects are kept apart, so a task that only shared its workers with
-/// the cause does not get there.
+/// A task is given up after so many crashes even if other starts were as recent
+/// or none of them is certain. Suspects are kept apart and are cleared once
+/// they are seen to work, so a task that is not the cause does not get there.
 constexpr int kMaxCrashes = 4;
+/// Of the runs that a previous leader assigned to a worker, those that it
+/// assigned so much earlier than the latest one had begun and worked: if one of
+/// them had crashed the worker, the leader would have assigned nothing there
+/// afterwards.
+constexpr std::chrono::milliseconds kAssignmentSpread{500};
 /// An answer that is missing after less than the time that the worker may wait
 /// and this much is not late: the connection was lost or refused.
 constexpr std::chrono::milliseconds kMinAnswerTime{300};
@@ -20,16 +26,32 @@
 constexpr std::chrono::milliseconds kRefusalTime{100};
 /// Workers that are kept free for suspects at a time: one of so many.
 constexpr std::size_t kWorkersPerHold = 4;
+/// Added to the proof time before other tasks are started beside a suspect, so
+/// that the next leader can tell it from them.
+constexpr auto kSuspectMargin = kAssignmentSpread - kProofTime;
+
+/// What is known of a run whose worker crashed.
+auto EvidenceName(const LiveTask& task, bool is_dated) -> const char* {
+  if (task.stage == RunStage::kUnknown) {
+    return "previous-leader";
+  }
+  if (task.stage != RunStage::kRunning) {
+    return "unconfirmed";
+  }
+  return is_dated ? "confirmed" : "undated";
+}
 
 }  // namespace
 
 auto LiveTask::IsUnprovenAt(TimePoint time) const -> bool {
-  const bool may_have_begun =
-      this->stage == RunStage::kRunning ||
-      (this->stage == RunStage::kStarting &&
-       (this->is_start_uncertain || this->is_start_in_flight));
-  return may_have_begun && this->first_start_sent_at != TimePoint() &&
-         time - this->first_start_sent_at < kProofTime;
+  if (this->first_start_sent_at == TimePoint()) {
+    return false;
+  }
+  if (this->stage == RunStage::kStarting) {
+    return this->is_start_uncertain || this->is_start_in_flight;
+  }
+  return this->stage == RunStage::kRunning &&
+         time - this->confirmed_at < kProofTime;
 }
 
 auto Scheduler::Core::OnPollUnanswered(LiveWorker& worker,
@@ -44,58 +66,70 @@
   worker.alive_until = now - sent < kRefusalTime ? worker.clock_at : now;
 }
 
-auto Scheduler::Core::OnWorkerCrashed(LiveWorker& worker, TimePoint now)
-    -> void {
+auto Scheduler::Core::FindSuspects(const LiveWorker& worker, TimePoint now)
+    -> std::vector<LiveTask*> {
   // Without the time of the crash, everything since the last answer and
   // shortly before it may be the cause.
   const auto ended_at = worker.connection_lost_at.value_or(now);
   const auto alive_until =
       worker.connection_lost_at ? worker.alive_until : worker.clock_at;
+  AssignmentTime latest;
+  for (const auto& [name, task] : worker.tasks) {
+    latest = std::max(latest, task->persistent.assigned_at);
+  }
   std::vector<LiveTask*> suspects;
-  bool has_unknown_age = false;
-  for (auto& [name, task] : worker.tasks) {
-    // A previous leader's start.
-    const bool is_of_unknown_age = task->stage == RunStage::kUnknown;
-    const bool is_recent = task->IsUnprovenAt(alive_until) &&
-                           task->first_start_sent_at <= ended_at;
+  for (const auto& [name, task] : worker.tasks) {
+    const auto& assigned_at = task->persistent.assigned_at;
+    const bool is_among_latest =
+        assigned_at.epoch == latest.epoch &&
+        latest.term - assigned_at.term < kAssignmentSpread;
+    const bool may_be_cause = task->stage == RunStage::kUnknown
+                                  ? is_among_latest
+                                  : task->IsUnprovenAt(alive_until) &&
+                                        task->first_start_sent_at <= ended_at;
     const bool is_counted =
         task->persistent.crashed_run == task->persistent.run;
-    if (!is_counted && (is_recent || is_of_unknown_age)) {
+    if (may_be_cause && !is_counted) {
       suspects.push_back(task);
-      has_unknown_age |= is_of_unknown_age;
     }
   }
-  // A run of unknown age only raises a suspicion, and so does a crash whose
-  // time is not known.
+  return suspects;
+}
+
+auto Scheduler::Core::OnWorkerCrashed(LiveWorker& worker, TimePoint now)
+    -> void {
+  const auto suspects = FindSuspects(worker, now);
+  const bool is_dated = worker.connection_lost_at.has_value();
   const bool is_conclusive =
-      !has_unknown_age && worker.connection_lost_at &&
+      is_dated &&
       std::all_of(suspects.begin(), suspects.end(), [&](const LiveTask* task) {
-        return task->step->job == suspects.front()->step->job;
+        return task->stage != RunStage::kUnknown &&
+               task->step->job == suspects.front()->step->job;
       });
   for (auto* task : suspects) {
-    // A run that was not confirmed may never have begun.
-    task->is_suspected = true;
-    if (task->stage == RunStage::kRunning) {
-      task->persistent.crashes++;
-      task->persistent.crashed_run = task->persistent.run;
-      this->MarkDirty(*task->step->job);
-    }
-    this->AddNote(Event::kTaskSuspected,
-                  {{"task", task->name.Text()},
-                   {"run", std::to_string(task->persistent.run)},
-                   {"worker", worker.report.id.Text()},
-                   {"crashes", std::to_string(task->persistent.crashes)},
-                   {"suspects", std::to_string(suspects.size())}});
+    auto& progress = task->persistent;
+    const bool is_certain = is_dated && task->stage == RunStage::kRunning;
+    (is_certain ? progress.crashes : progress.possible_crashes)++;
+    progress.crashed_run = progress.run;
+    this->MarkDirty(*task->step->job);
+    this->AddNote(
+        Event::kTaskSuspected,
+        {{"task", task->name.Text()},
+         {"run", std::to_string(progress.run)},
+         {"worker", worker.report.id.Text()},
+         {"evidence", EvidenceName(*task, is_dated)},
+         {"crashes", std::to_string(progress.crashes)},
+         {"possible_crashes", std::to_string(progress.possible_crashes)},
+         {"suspects", std::to_string(suspects.size())}});
   }
-  for (auto* task : suspects) {
-    const int crashes = task->persistent.crashes;
-    const bool is_counted =
-        task->persistent.crashed_run == task->persistent.run;
-    if (!is_counted) {
-      continue;
-    }
-    if ((is_conclusive && crashes >= kCrashesOfCause) ||
-        crashes >= kMaxCrashes) {
+  worker.CountSuspects();
+  for (const auto* task : suspects) {
+    const auto& progress = task->persistent;
+    const bool is_cause =
+        is_conclusive && task->stage == RunStage::kRunning &&
+        2 * progress.crashes + progress.possible_crashes >= 2 * kCrashesOfCause;
+    const int crashes = progress.crashes + progress.possible_crashes;
+    if (is_cause || crashes >= kMaxCrashes) {
       this->FinishJob(*task->step->job, JobState::kFailed,
                       "task " + task->name.Text() + " crashed " +
                           std::to_string(crashes) + " workers");
@@ -103,6 +137,15 @@
   }
 }
 
+auto Scheduler::Core::ClearSuspicion(LiveTask& task, LiveWorker& worker)
+    -> void {
+  task.persistent.crashes = 0;
+  task.persistent.possible_crashes = 0;
+  worker.CountSuspects();
+  // The next leader would count on.
+  this->MarkDirty(*task.step->job);
+}
+
 auto Scheduler::Core::HasUnprovenRun(const LiveWorker& worker, TimePoint now)
     -> bool {
   return std::any_of(
@@ -125,7 +168,8 @@
                       [now](const auto& entry) {
                         const auto& task = *entry.second;
                         return task.IsSuspect() &&
-                               (task.IsNotBegun() || task.IsUnprovenAt(now));
+                               (task.IsNotBegun() ||
+                                task.IsUnprovenAt(now - kSuspectMargin));
                       });
 }
 
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -32,7 +32,8 @@
   return longest;
 }
 
-Scheduler::Core::Core(SchedulerOptions options, TimePoint) : options(options) {}
+Scheduler::Core::Core(SchedulerOptions options, TimePoint now)
+    : options(options), took_over_at(now) {}
 
 auto Scheduler::Core::AddNote(
     Event event,
@@ -150,6 +151,7 @@
       }
       auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
       worker.tasks.emplace(task.name, &task);
+      worker.CountSuspects();
       this->AddUsage(task, worker);
       job.placed_tasks++;
       this->unanswered_starts.Add(task.persistent.worker,
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -62,20 +62,17 @@
   /// While set, a worker is kept free of other starts for this suspect.
   TimePoint hold_until;
 
-  /// The latest crash of one of its workers may be its fault.
-  bool is_suspected = false;
-
   /// Whether the task may crash its worker right after the start.
   auto IsSuspect() const -> bool {
-    return this->is_suspected || this->persistent.crashes > 0;
+    return this->persistent.crashes + this->persistent.possible_crashes > 0;
   }
   /// Whether the run is assigned and its worker has not confirmed it.
   auto IsNotBegun() const -> bool {
     return this->stage == RunStage::kStoring ||
            this->stage == RunStage::kStarting;
   }
-  /// Whether the run was sent to its worker less than `kProofTime` before that
-  /// time, so that it may be the cause if the worker crashes then.
+  /// Whether the run may have begun less than `kProofTime` before that time, so
+  /// that it may be the cause if the worker crashes then.
   auto IsUnprovenAt(TimePoint time) const -> bool;
 
   /// Whether a start or stop order is due now or later.
--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -68,6 +69,11 @@
   auto FreeResources() const -> Resources {
     return this->report.capacity - this->used;
   }
+  auto CountSuspects() -> void {
+    this->suspects = static_cast<std::size_t>(std::count_if(
+        this->tasks.begin(), this->tasks.end(),
+        [](const auto& entry) { return entry.second->IsSuspect(); }));
+  }
 };
 
 }  // namespace shallotbank::cell
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -68,9 +68,14 @@
     row.push_back(task.worker.id.Text());
     row.push_back(task.worker.born_unix_ms);
   }
-  if (task.crashes > 0) {
+  if (is_assigned || task.crashes > 0 || task.possible_crashes > 0) {
     row.push_back(task.crashes);
     row.push_back(task.crashed_run);
+    row.push_back(task.possible_crashes);
+  }
+  if (is_assigned) {
+    row.push_back(task.assigned_at.epoch);
+    row.push_back(task.assigned_at.term.count());
   }
   return row;
 }
@@ -91,10 +96,18 @@
     task.worker.id = WorkerId(value.at(next++).get<std::string>());
     task.worker.born_unix_ms = value.at(next++);
   }
-  // Records of earlier releases, and of tasks without crashes, end here.
+  // Records of earlier releases end here or after the next two fields, those of
+  // waiting tasks without crashes end here.
+  if (value.size() > next) {
+    task.crashes = value.at(next++).get<int>();
+    task.crashed_run = value.at(next++).get<int>();
+  }
+  if (value.size() > next) {
+    task.possible_crashes = value.at(next++).get<int>();
+  }
   if (value.size() > next) {
-    task.crashes = value.at(next).get<int>();
-    task.crashed_run = value.at(next + 1).get<int>();
+    task.assigned_at.epoch = value.at(next++).get<Epoch>();
+    task.assigned_at.term = Milliseconds(value.at(next++).get<std::int64_t>());
   }
   return task;
 }
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -67,6 +67,9 @@
   task.persistent.phase = TaskPhase::kAssigned;
   task.persistent.run++;
   task.persistent.worker = {worker.report.id, worker.born_unix_ms};
+  task.persistent.assigned_at = {
+      this->options.fence,
+      std::chrono::floor<Milliseconds>(now - this->took_over_at)};
   task.stage = RunStage::kStoring;
   task.batch = 0;
   task.stop_requested = false;
@@ -119,9 +122,7 @@
   auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
   auto& job = *task.step->job;
   worker.tasks.erase(task.name);
-  worker.suspects = static_cast<std::size_t>(std::count_if(
-      worker.tasks.begin(), worker.tasks.end(),
-      [](const auto& entry) { return entry.second->IsSuspect(); }));
+  worker.CountSuspects();
   this->RemoveUsage(task, worker);
   job.placed_tasks--;
   task.stage = RunStage::kNone;
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -193,10 +193,16 @@
                         const PollOrder& order,
                         TimePoint sent,
                         TimePoint now) -> void;
+  /// Returns the runs that may be the cause if the worker has crashed, without
+  /// those that are counted already.
+  static auto FindSuspects(const LiveWorker& worker, TimePoint now)
+      -> std::vector<LiveTask*>;
   /// Counts the crash of a worker for the runs that may have caused it, and
   /// fails the job of one that is found to be the cause. To be called before
   /// the runs are given up.
   auto OnWorkerCrashed(LiveWorker& worker, TimePoint now) -> void;
+  /// Forgets the crashes of a task that is seen to work.
+  auto ClearSuspicion(LiveTask& task, LiveWorker& worker) -> void;
   /// Whether a run on the worker is too recent to be ruled out as the cause of
   /// a crash.
   static auto HasUnprovenRun(const LiveWorker& worker, TimePoint now) -> bool;
@@ -325,6 +331,7 @@
                std::vector<std::pair<std::string, std::string>> fields) -> void;
 
   const SchedulerOptions options;
+  const TimePoint took_over_at;
   CellConfiguration configuration;
   std::unordered_map<JobId, std::unique_ptr<LiveJob>> jobs;
   /// Jobs with occurrences that have not begun.
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds kPaceClassificationInterval{500};
 /// Maximum time that a worker may delay the answer to a poll.
 constexpr Milliseconds kMaxPollWait{2000};
+/// The same while a suspect runs there, to see soon that it works.
+constexpr Milliseconds kSuspectPollWait{500};
 /// A poll while completions wait to be stored only renews the lease.
 constexpr std::chrono::milliseconds kPollIntervalWhileStoring{1000};
 /// Delay after an unanswered poll; it grows with each one up to kMaxPollDelay.
@@ -286,6 +288,9 @@
       continue;
     }
     listed.insert(running.task);
+    if (task->stage == RunStage::kUnknown && task->IsSuspect()) {
+      task->first_start_sent_at = sent;  // A previous leader sent it just now.
+    }
     if (task->stage == RunStage::kUnknown ||
         task->stage == RunStage::kStarting) {
       this->ConfirmStart(*task, now);
@@ -294,11 +299,11 @@
       task->persistent.checkpoint = running.checkpoint;
     }
     // The members of a gang work only once all are present.
-    const bool is_proven =
-        !task->step->spec->is_gang && !task->IsUnprovenAt(sent);
-    if (task->IsSuspect() && is_proven) {
-      task->persistent.crashes = 0;
-      task->is_suspected = false;
+    const bool is_working =
+        !task->step->spec->is_gang ||
+        (task->percent >= 0 && running.percent > task->percent);
+    if (task->IsSuspect() && is_working && !task->IsUnprovenAt(sent)) {
+      this->ClearSuspicion(*task, worker);
     }
     this->TrackProgress(*task, running.percent, now);
   }
@@ -424,7 +429,8 @@
             ? worker.ClockAtLeast(now) > worker.lease_end + kLeaseMargin
             : now > worker.unattached_lease_end;
     if (is_lapsed && !worker.tasks.empty() && !IsAnswerDue(worker)) {
-      if (worker.connection_lost_at) {
+      // A worker that this leader never reached may have crashed before.
+      if (worker.connection_lost_at || !worker.is_attached) {
         this->OnWorkerCrashed(worker, now);
       }
       std::vector<LiveTask*> lost;
@@ -479,7 +485,9 @@
         worker.has_orphaned_runs;
     const bool is_quick = !worker.is_attached || is_storing || waits_for_stop ||
                           worker.unanswered_polls > 0;
-    order.wait = is_quick ? Milliseconds::zero() : kMaxPollWait;
+    order.wait = is_quick              ? Milliseconds::zero()
+                 : worker.suspects > 0 ? kSuspectPollWait
+                                       : kMaxPollWait;
     if (waits_for_stop) {
       worker.next_poll = now + kPollDelay;
     }
--- a/libs/cell/tests/crashes_test.cc
+++ b/libs/cell/tests/crashes_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 namespace shallotbank::cell {
@@ -98,7 +99,9 @@
       task.run = 4;
       task.crashes = crashes;
       task.crashed_run = crashes;
+      task.possible_crashes = crashes / 2;
       task.worker = {WorkerId("w1"), 7};
+      task.assigned_at = {5, milliseconds(1234)};
       JobProgress progress;
       progress.state = JobState::kRunning;
       progress.occurrences = {{0, {{task}}}};
@@ -107,11 +110,47 @@
       const auto& again = read->occurrences.at(0).steps.at(0).at(0);
       BOOST_TEST(again.crashes == crashes);
       BOOST_TEST(again.crashed_run == crashes);
+      BOOST_TEST(again.possible_crashes == crashes / 2);
+      BOOST_TEST((again.assigned_at == task.assigned_at ||
+                  phase == TaskPhase::kWaiting));
       BOOST_TEST(again.run == 4);
       BOOST_TEST((again.phase == phase));
     }
   }
 }
 
+struct FormerRecordCase {
+  const char* name;
+  nlohmann::json task;
+  int crashes;
+};
+
+// Guards against records that a leader of an earlier release wrote.
+BOOST_AUTO_TEST_CASE(tasks_of_earlier_releases_are_read) {
+  const FormerRecordCase cases[] = {
+      {"waiting", {0, 4, 1, "c"}, 0},
+      {"waiting after crashes", {0, 4, 1, "c", 2, 3}, 2},
+      {"assigned", {1, 4, 1, "c", "w1", 7}, 0},
+      {"assigned after crashes", {1, 4, 1, "c", "w1", 7, 2, 3}, 2},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      const nlohmann::json steps = {{test_case.task}};
+      const nlohmann::json occurrence = {0, steps};
+      const nlohmann::json progress = {1, nlohmann::json::array({occurrence})};
+      std::string bytes(1, '1');
+      nlohmann::json::to_msgpack(progress, bytes);
+      const auto read = DecodeProgress(bytes);
+      BOOST_REQUIRE(read.has_value());
+      const auto& task = read->occurrences.at(0).steps.at(0).at(0);
+      BOOST_TEST(task.run == 4);
+      BOOST_TEST(task.checkpoint == "c");
+      BOOST_TEST(task.crashes == test_case.crashes);
+      BOOST_TEST(task.possible_crashes == 0);
+      BOOST_TEST((task.assigned_at == AssignmentTime()));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
--- a/libs/cell/tests/crashing_cell.h
+++ b/libs/cell/tests/crashing_cell.h
@@ -244,6 +244,17 @@
                                this->clock.Now());
   }
 
+  /// Such a gang never has all of its members at work.
+  auto IsInDeadlyGang(const TaskId& task) const -> bool {
+    const auto& name = task.Text();
+    const JobId job(name.substr(0, name.find('.')));
+    return this->specs.at(job).steps[0].is_gang &&
+           std::any_of(this->deadly.begin(), this->deadly.end(),
+                       [&job](const TaskId& other) {
+                         return other.Text().starts_with(job.Text() + '.');
+                       });
+  }
+
   auto AdvanceWorkers() -> void {
     const auto now = this->clock.Now();
     std::vector<std::string> back;
@@ -261,8 +272,9 @@
           crashed.push_back(id);
         }
       }
-      std::erase_if(worker.runs, [&worker, now](const ActiveRun& run) {
-        const bool is_done = now - run.started >= kRunTime;
+      std::erase_if(worker.runs, [this, &worker, now](const ActiveRun& run) {
+        const bool is_done = now - run.started >= kRunTime &&
+                             !this->IsInDeadlyGang(run.order.task);
         if (is_done) {
           worker.ended.push_back(
               Ended(run.order, EndKind::kDone, ++worker.last_end));
