--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -66,8 +66,9 @@
 
 /// When a leader assigned a run. Later values are later, also across leaders.
 struct AssignmentTime {
-  Epoch epoch = 0;      ///< Of the leader.
-  Milliseconds term{};  ///< Since the leader took over.
+  Epoch epoch = 0;          ///< Of the leader.
+  std::uint64_t batch = 0;  ///< Of the leader, that stores the assignment.
+  Milliseconds term{};      ///< Since the leader took over.
 
   auto operator<=>(const AssignmentTime&) const = default;
 };
@@ -80,8 +81,7 @@
   /// Workers that crashed right after they had started the task, since it was
   /// last seen to work.
   int crashes = 0;
-  /// Workers that crashed when the run may not have begun, or may have been
-  /// old.
+  /// The same when the run may not have begun, or may have been old.
   int possible_crashes = 0;
   int crashed_run = 0;       ///< The latest run that is counted in either.
   WorkerIncarnation worker;  ///< Of the latest run, while the task is assigned.
--- a/libs/cell/src/batches.cc
+++ b/libs/cell/src/batches.cc
@@ -85,6 +85,7 @@
         for (auto& task : step.tasks) {
           if (task.stage == RunStage::kStoring && task.batch == 0) {
             task.batch = batch.sequence;
+            task.persistent.assigned_at.batch = batch.sequence;
           }
         }
       }
--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -14,11 +14,11 @@
 /// or none of them is certain. Suspects are kept apart and are cleared once
 /// they are seen to work, so a task that is not the cause does not get there.
 constexpr int kMaxCrashes = 4;
-/// Of the runs that a previous leader assigned to a worker, those that it
-/// assigned so much earlier than the latest one had begun and worked: if one of
-/// them had crashed the worker, the leader would have assigned nothing there
-/// afterwards.
-constexpr std::chrono::milliseconds kAssignmentSpread{500};
+/// A leader has up to two batches in flight, and another one may be stored
+/// before it notices a crash. A run that it assigned to the worker longer
+/// before the latest one there had begun and worked: else the leader would have
+/// assigned nothing there afterwards.
+constexpr std::uint64_t kUnnoticedBatches = 3;
 /// An answer that is missing after less than the time that the worker may wait
 /// and this much is not late: the connection was lost or refused.
 constexpr std::chrono::milliseconds kMinAnswerTime{300};
@@ -26,9 +26,6 @@
 constexpr std::chrono::milliseconds kRefusalTime{100};
 /// Workers that are kept free for suspects at a time: one of so many.
 constexpr std::size_t kWorkersPerHold = 4;
-/// Added to the proof time before other tasks are started beside a suspect, so
-/// that the next leader can tell it from them.
-constexpr auto kSuspectMargin = kAssignmentSpread - kProofTime;
 
 /// What is known of a run whose worker crashed.
 auto EvidenceName(const LiveTask& task, bool is_dated) -> const char* {
@@ -82,7 +79,8 @@
     const auto& assigned_at = task->persistent.assigned_at;
     const bool is_among_latest =
         assigned_at.epoch == latest.epoch &&
-        latest.term - assigned_at.term < kAssignmentSpread;
+        (latest.term - assigned_at.term < kProofTime ||
+         latest.batch - assigned_at.batch <= kUnnoticedBatches);
     const bool may_be_cause = task->stage == RunStage::kUnknown
                                   ? is_among_latest
                                   : task->IsUnprovenAt(alive_until) &&
@@ -125,9 +123,8 @@
   worker.CountSuspects();
   for (const auto* task : suspects) {
     const auto& progress = task->persistent;
-    const bool is_cause =
-        is_conclusive && task->stage == RunStage::kRunning &&
-        2 * progress.crashes + progress.possible_crashes >= 2 * kCrashesOfCause;
+    const bool is_cause = is_conclusive && task->stage == RunStage::kRunning &&
+                          task->CrashScore() >= 2 * kCrashesOfCause;
     const int crashes = progress.crashes + progress.possible_crashes;
     if (is_cause || crashes >= kMaxCrashes) {
       this->FinishJob(*task->step->job, JobState::kFailed,
@@ -168,8 +165,7 @@
                       [now](const auto& entry) {
                         const auto& task = *entry.second;
                         return task.IsSuspect() &&
-                               (task.IsNotBegun() ||
-                                task.IsUnprovenAt(now - kSuspectMargin));
+                               (task.IsNotBegun() || task.IsUnprovenAt(now));
                       });
 }
 
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -62,10 +62,12 @@
   /// While set, a worker is kept free of other starts for this suspect.
   TimePoint hold_until;
 
-  /// Whether the task may crash its worker right after the start.
-  auto IsSuspect() const -> bool {
-    return this->persistent.crashes + this->persistent.possible_crashes > 0;
+  /// A possible crash counts half.
+  auto CrashScore() const -> int {
+    return 2 * this->persistent.crashes + this->persistent.possible_crashes;
   }
+  /// Whether the task may crash its worker right after the start.
+  auto IsSuspect() const -> bool { return this->CrashScore() > 0; }
   /// Whether the run is assigned and its worker has not confirmed it.
   auto IsNotBegun() const -> bool {
     return this->stage == RunStage::kStoring ||
--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -35,7 +35,7 @@
   std::optional<TimePoint> connection_lost_at;
   /// Until when the worker is known to have worked, once a connection is lost.
   TimePoint alive_until;
-  /// Number of assigned tasks that are suspected of crashing their workers.
+  /// Number of assigned tasks that crashed their workers, or may have.
   std::size_t suspects = 0;
   /// Until then the worker is kept free of other starts for a suspect.
   TimePoint held_until;
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -75,6 +75,7 @@
   }
   if (is_assigned) {
     row.push_back(task.assigned_at.epoch);
+    row.push_back(task.assigned_at.batch);
     row.push_back(task.assigned_at.term.count());
   }
   return row;
@@ -107,6 +108,7 @@
   }
   if (value.size() > next) {
     task.assigned_at.epoch = value.at(next++).get<Epoch>();
+    task.assigned_at.batch = value.at(next++).get<std::uint64_t>();
     task.assigned_at.term = Milliseconds(value.at(next++).get<std::int64_t>());
   }
   return task;
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -68,7 +68,7 @@
   task.persistent.run++;
   task.persistent.worker = {worker.report.id, worker.born_unix_ms};
   task.persistent.assigned_at = {
-      this->options.fence,
+      this->options.fence, 0,
       std::chrono::floor<Milliseconds>(now - this->took_over_at)};
   task.stage = RunStage::kStoring;
   task.batch = 0;
--- a/libs/cell/tests/crashes_across_leaders_test.cc
+++ b/libs/cell/tests/crashes_across_leaders_test.cc
@@ -85,6 +85,7 @@
   int deadly_percent;         ///< Of the jobs.
   milliseconds change_after;  ///< Longest time between changes of the leader.
   milliseconds crash_after;   ///< The same for other crashes; 0: none.
+  milliseconds store_delay{};
 };
 
 // Tasks that crash their workers are given up in time, and no other task is,
@@ -99,6 +100,8 @@
        milliseconds(2000)},
       {"other crashes only", Return::kSameId, 0, milliseconds(3000),
        milliseconds(500)},
+      {"a slow store", Return::kOtherId, 20, milliseconds(6000),
+       milliseconds(2000), milliseconds(500)},
       {"leaders that hardly last", Return::kOtherId, 10, milliseconds(1500),
        milliseconds(1500)},
   };
@@ -112,6 +115,7 @@
                       random() % static_cast<std::uint64_t>(most.count())));
         };
         CrashingCell cell(24, test_case.how);
+        cell.store_delay = test_case.store_delay;
         cell.Run(seconds(1));
         std::vector<std::string> jobs;
         auto change_in = until(test_case.change_after);
--- a/libs/cell/tests/crashes_test.cc
+++ b/libs/cell/tests/crashes_test.cc
@@ -101,7 +101,7 @@
       task.crashed_run = crashes;
       task.possible_crashes = crashes / 2;
       task.worker = {WorkerId("w1"), 7};
-      task.assigned_at = {5, milliseconds(1234)};
+      task.assigned_at = {5, 6, milliseconds(1234)};
       JobProgress progress;
       progress.state = JobState::kRunning;
       progress.occurrences = {{0, {{task}}}};
--- a/libs/cell/tests/crashing_cell.h
+++ b/libs/cell/tests/crashing_cell.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -74,10 +75,12 @@
     this->lost_leader_at = this->clock.Now();
     this->next_leader_at = this->clock.Now() + time_without_leader;
     this->polls.clear();
+    this->batches.clear();
     this->TakeOverIfDue();
   }
 
   std::set<TaskId> deadly;
+  Duration store_delay{};
   /// Tasks whose starts are executed and not answered.
   std::set<TaskId> unanswered;
   std::map<TaskId, int> starts;
@@ -310,6 +313,18 @@
     }
   }
 
+  auto StoreDueBatches() -> void {
+    const auto now = this->clock.Now();
+    while (!this->batches.empty() && this->batches.front().first <= now) {
+      const auto batch = std::move(this->batches.front().second);
+      this->batches.pop_front();
+      for (const auto& [job, bytes] : batch.records) {
+        this->stored[job] = bytes;
+      }
+      this->Active().OnStored(batch.sequence, now);
+    }
+  }
+
   auto Tick() -> void {
     this->clock.Advance(kTick);
     this->AdvanceWorkers();
@@ -323,11 +338,9 @@
     auto decisions = this->Active().Decide(
         now, std::chrono::system_clock::time_point(), Authority{});
     if (decisions.batch) {
-      for (const auto& [job, bytes] : decisions.batch->records) {
-        this->stored[job] = bytes;
-      }
-      this->Active().OnStored(decisions.batch->sequence, now);
+      this->batches.emplace_back(now + this->store_delay, *decisions.batch);
     }
+    this->StoreDueBatches();
     for (const auto& order : decisions.starts) {
       this->Start(order);
     }
@@ -342,6 +355,8 @@
   const Return how;
   std::map<std::string, Worker> live;
   std::vector<Poll> polls;
+  /// With the times at which they are stored.
+  std::deque<std::pair<TimePoint, ProgressBatch>> batches;
   std::map<JobId, JobSpec> specs;
   std::optional<Scheduler> next;  ///< The leader after a change.
   Epoch last_fence = 1;
