--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <limits>
+#include <set>
 #include <tuple>
 
 #include "scheduler_core.h"
@@ -293,7 +294,8 @@
   const bool has_suspect = suspect != step.tasks.end();
   const auto all_workers = workers;
   std::erase_if(workers, [&](const LiveWorker* worker) {
-    return !MayStartBeside(*worker, has_suspect, now);
+    return !MayStartBeside(*worker, false, now) &&
+           !(has_suspect && MayStartBeside(*worker, true, now));
   });
   std::map<LiveWorker*, std::size_t> slots;
   std::map<RackId, std::size_t> by_rack;
@@ -305,11 +307,14 @@
     by_rack[worker->report.rack] += here;
     total += here;
   }
-  if (total < step.tasks.size() && has_suspect) {
-    this->HoldWorkerFor(*suspect, all_workers, now);
-  }
-  if (total < step.tasks.size()) {
+  const auto block = [&] {
+    if (has_suspect) {
+      this->HoldWorkerFor(*suspect, all_workers, now);
+    }
     return all_workers.empty() ? WaitReason::kNoAdvice : WaitReason::kNoRoom;
+  };
+  if (total < step.tasks.size()) {
+    return block();
   }
   const auto rack_rank = [&](const LiveWorker* worker) {
     const auto& rack = worker->report.rack;
@@ -330,23 +335,56 @@
                                                  b->FreeResources().cores_milli,
                                                  b->report.id);
   });
+  const auto chosen = ChooseGangWorkers(step, workers, std::move(slots), now);
+  if (chosen.empty()) {
+    return block();
+  }
   int run = 0;
   for (const auto& member : step.tasks) {
     run = std::max(run, member.persistent.run);
   }
-  auto worker = workers.begin();
-  for (auto& member : step.tasks) {
-    while (slots[*worker] == 0) {
-      ++worker;
-    }
-    slots[*worker]--;
+  for (const auto& [member, worker] : chosen) {
     // All members of a gang run have the same run number.
-    member.persistent.run = run;
-    this->Assign(member, **worker, now);
+    member->persistent.run = run;
+    this->Assign(*member, *worker, now);
   }
   return WaitReason::kNone;
 }
 
+auto Scheduler::Core::ChooseGangWorkers(
+    LiveStep& step,
+    const std::vector<LiveWorker*>& workers,
+    std::map<LiveWorker*, std::size_t> slots,
+    TimePoint now) -> std::vector<std::pair<LiveTask*, LiveWorker*>> {
+  std::vector<std::pair<LiveTask*, LiveWorker*>> chosen;
+  std::set<LiveWorker*> with_suspects;
+  // Suspects go first, as fewer workers suit them.
+  for (const bool is_suspect : {true, false}) {
+    auto worker = workers.begin();
+    for (auto& member : step.tasks) {
+      if (member.IsSuspect() != is_suspect) {
+        continue;
+      }
+      // Other members do not obscure which job causes a crash.
+      const auto is_suitable = [&](LiveWorker* candidate) {
+        return slots[candidate] > 0 &&
+               (with_suspects.contains(candidate) ||
+                MayStartBeside(*candidate, is_suspect, now));
+      };
+      worker = std::find_if(worker, workers.end(), is_suitable);
+      if (worker == workers.end()) {
+        return {};
+      }
+      slots[*worker]--;
+      if (is_suspect) {
+        with_suspects.insert(*worker);
+      }
+      chosen.emplace_back(&member, *worker);
+    }
+  }
+  return chosen;
+}
+
 auto Scheduler::Core::PlaceStep(const RankedStep& ranked, TimePoint now)
     -> WaitReason {
   if (now < ranked.step->not_before) {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -257,6 +257,13 @@
   auto PlaceGang(const RankedStep& ranked,
                  std::vector<LiveWorker*> workers,
                  TimePoint now) -> WaitReason;
+  /// Returns a worker for each member of the gang, or nothing if it does not
+  /// fit. Suspects are started apart from other starts.
+  static auto ChooseGangWorkers(LiveStep& step,
+                                const std::vector<LiveWorker*>& workers,
+                                std::map<LiveWorker*, std::size_t> slots,
+                                TimePoint now)
+      -> std::vector<std::pair<LiveTask*, LiveWorker*>>;
   auto PlaceSingles(const RankedStep& ranked,
                     const std::vector<LiveWorker*>& workers,
                     TimePoint now) -> WaitReason;
--- a/libs/cell/tests/gang_runs_test.cc
+++ b/libs/cell/tests/gang_runs_test.cc
@@ -133,5 +133,51 @@
   }
 }
 
+struct SuspectCase {
+  const char* name;
+  std::set<std::size_t> suspects;  ///< Members of the gang.
+  std::size_t expected_starts;
+};
+
+// Guards against a gang that waits for workers without recent starts for all of
+// its members because one of them is suspected of crashing its workers.
+BOOST_AUTO_TEST_CASE(only_the_suspects_of_a_gang_are_started_apart) {
+  const SuspectCase cases[] = {
+      {"no suspect", {}, 3},        {"the first", {0}, 3},
+      {"the second", {1}, 3},       {"the last", {2}, 3},
+      {"more than fit", {0, 2}, 0},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      SchedulerFixture cell;
+      cell.AddWorker("busy", 4000);
+      cell.scheduler.OnJob(cell.Job("recent", 1, 1000), {}, cell.clock.Now());
+      for (const auto& order : cell.Starts()) {
+        cell.Answer(order, OrderOutcome::kDone);
+      }
+      cell.AddWorker("idle", 1000);
+      JobProgress progress;
+      progress.next_occurrence = 1;
+      progress.occurrences = {{0, {std::vector<TaskProgress>(3)}}};
+      for (const auto suspect : test_case.suspects) {
+        auto& member = progress.occurrences[0].steps[0][suspect];
+        member.run = 1;
+        member.crashes = 1;
+      }
+      cell.scheduler.OnJob(cell.Job("gang", 3, 1000, true), progress,
+                           cell.clock.Now());
+      const auto starts = cell.Starts();
+      BOOST_TEST(starts.size() == test_case.expected_starts);
+      for (const auto& order : starts) {
+        for (const auto suspect : test_case.suspects) {
+          const bool is_suspect =
+              order.task == TaskName(JobId("gang"), 0, 0, suspect);
+          BOOST_TEST((!is_suspect || order.target.worker == WorkerId("idle")));
+        }
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
