--- a/libs/cell/tests/crashes_across_leaders_test.cc
+++ b/libs/cell/tests/crashes_across_leaders_test.cc
@@ -100,6 +100,8 @@
        milliseconds(2000)},
       {"other crashes only", Return::kSameId, 0, milliseconds(3000),
        milliseconds(500)},
+      {"workers that are cut off", Return::kCutOff, 0, milliseconds(2000),
+       milliseconds(400)},
       {"a slow store", Return::kOtherId, 20, milliseconds(6000),
        milliseconds(2000), milliseconds(500)},
       {"leaders that hardly last", Return::kOtherId, 10, milliseconds(1500),
