--- a/libs/rpc/tests/lifecycle_test.cc
+++ b/libs/rpc/tests/lifecycle_test.cc
@@ -1,4 +1,7 @@
 #include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
@@ -106,6 +109,8 @@
   PeerClient client({.max_calls_per_peer = kThreads * kCalls});
   std::atomic<int> correct = 0;
   std::atomic<int> completed = 0;
+  std::mutex mutex;
+  std::map<std::string, int> failures;  // By reason.
   std::atomic<bool> stopping = false;
   std::thread responder([&] {
     while (!stopping) {
@@ -122,12 +127,18 @@
         const auto id = std::to_string(t * kCalls + i);
         const std::string kind = i % 2 == 0 ? "hold" : "echo";
         const auto expected = i % 2 == 0 ? "held" : kind + id;
-        client.Call(peer.Address(), ExplainRequest{kind, id}, 60s,
-                    [&, expected](const auto& result) {
-                      correct +=
-                          result.response && result.response->json == expected;
-                      ++completed;
-                    });
+        client.Call(
+            peer.Address(), ExplainRequest{kind, id}, 60s,
+            [&, expected](const auto& result) {
+              const bool is_correct =
+                  result.response && result.response->json == expected;
+              correct += is_correct;
+              if (!is_correct) {
+                const std::lock_guard lock(mutex);
+                ++failures[result.response ? "wrong response" : result.reason];
+              }
+              ++completed;
+            });
       }
     });
   }
@@ -137,6 +148,10 @@
   BOOST_TEST(WaitFor([&] { return completed == kThreads * kCalls; }, 60s));
   stopping = true;
   responder.join();
+  const std::lock_guard lock(mutex);
+  for (const auto& [reason, calls] : failures) {
+    BOOST_ERROR(calls << " calls failed: " << reason);
+  }
   BOOST_TEST(correct == kThreads * kCalls);
 }
 
