--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -14,11 +14,11 @@
 /// or none of them is certain. Suspects are kept apart and are cleared once
 /// they are seen to work, so a task that is not the cause does not get there.
 constexpr int kMaxCrashes = 4;
-/// A leader has up to two batches in flight, and another one may be stored
-/// before it notices a crash. A run that it assigned to the worker longer
-/// before the latest one there had begun and worked: else the leader would have
-/// assigned nothing there afterwards.
-constexpr std::uint64_t kUnnoticedBatches = 3;
+/// Up to two batches are in flight when a leader assigns a run, and some more
+/// are stored while it does not poll the worker. A run that it assigned to the
+/// worker longer before the latest one there had begun and worked: else the
+/// leader would have noticed the crash and assigned nothing there afterwards.
+constexpr std::uint64_t kUnnoticedBatches = 8;
 /// An answer that is missing after less than the time that the worker may wait
 /// and this much is not late: the connection was lost or refused.
 constexpr std::chrono::milliseconds kMinAnswerTime{300};
