--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -10,10 +10,15 @@
 /// started it, if it was the only recent start on the last of them. A crash
 /// that is only possibly its fault counts half.
 constexpr int kCrashesOfCause = 2;
-/// A task is given up after so many crashes even if other starts were as recent
-/// or none of them is certain. Suspects are kept apart and are cleared once
-/// they are seen to work, so a task that is not the cause does not get there.
+/// A task is given up after so many crashes even if other starts were as
+/// recent. Suspects are kept apart and are cleared once they are seen to work,
+/// so a task that is not the cause does not get there.
 constexpr int kMaxCrashes = 4;
+/// The same if none of the crashes is certain: every time the leader was lost,
+/// or the start was not answered.
+constexpr int kMaxPossibleCrashes = 5;
+/// A leader in office for this time is likely to see how a run goes on.
+constexpr std::chrono::seconds kSettledTerm{3};
 /// Up to two batches are in flight when a leader assigns a run, and some more
 /// are stored while it does not poll the worker. A run that it assigned to the
 /// worker longer before the latest one there had begun and worked: else the
@@ -126,7 +131,8 @@
     const bool is_cause = is_conclusive && task->stage == RunStage::kRunning &&
                           task->CrashScore() >= 2 * kCrashesOfCause;
     const int crashes = progress.crashes + progress.possible_crashes;
-    if (is_cause || crashes >= kMaxCrashes) {
+    const int most = progress.crashes > 0 ? kMaxCrashes : kMaxPossibleCrashes;
+    if (is_cause || crashes >= most) {
       this->FinishJob(*task->step->job, JobState::kFailed,
                       "task " + task->name.Text() + " crashed " +
                           std::to_string(crashes) + " workers");
@@ -143,6 +149,14 @@
   this->MarkDirty(*task.step->job);
 }
 
+auto Scheduler::Core::AwaitsSettledLeader(const LiveTask& task,
+                                          TimePoint now) const -> bool {
+  const auto& progress = task.persistent;
+  return progress.crashes + progress.possible_crashes >=
+             kMaxPossibleCrashes - 1 &&
+         now - this->took_over_at < kSettledTerm;
+}
+
 auto Scheduler::Core::HasUnprovenRun(const LiveWorker& worker, TimePoint now)
     -> bool {
   return std::any_of(
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -235,6 +235,10 @@
     if (!this->FitsLimit(*step.job, demand)) {
       return WaitReason::kLimit;
     }
+    if (this->AwaitsSettledLeader(task, now)) {
+      is_suspect_blocked = true;
+      continue;
+    }
     LiveWorker* best = nullptr;
     // A suspect takes as few other runs with it as possible.
     auto best_rank = std::tuple<std::size_t, bool, bool, bool, std::int64_t>();
@@ -283,6 +287,12 @@
   if (!step.HasNoRuns()) {
     return WaitReason::kFormerRun;
   }
+  if (std::any_of(step.tasks.begin(), step.tasks.end(),
+                  [&](const LiveTask& task) {
+                    return this->AwaitsSettledLeader(task, now);
+                  })) {
+    return WaitReason::kPause;
+  }
   if (!this->FitsLimit(*step.job,
                        Times(step.spec->demand,
                              static_cast<std::int64_t>(step.tasks.size())))) {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -203,6 +203,9 @@
   auto OnWorkerCrashed(LiveWorker& worker, TimePoint now) -> void;
   /// Forgets the crashes of a task that is seen to work.
   auto ClearSuspicion(LiveTask& task, LiveWorker& worker) -> void;
+  /// Whether the task is given up at its next crash and waits for a leader that
+  /// can be expected to see how the run goes on.
+  auto AwaitsSettledLeader(const LiveTask& task, TimePoint now) const -> bool;
   /// Whether a run on the worker is too recent to be ruled out as the cause of
   /// a crash.
   static auto HasUnprovenRun(const LiveWorker& worker, TimePoint now) -> bool;
--- a/libs/cell/tests/crashes_across_leaders_test.cc
+++ b/libs/cell/tests/crashes_across_leaders_test.cc
@@ -14,7 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint64_t kSeeds = 8;
+// The last ones gave up an innocent job, or started a deadly task too often.
+constexpr std::uint64_t kSeeds[] = {1, 2, 3, 4, 5, 6, 13, 34, 36, 48};
 // The limit of the platform: three starts and two more.
 constexpr int kMaxStarts = 5;
 
@@ -108,7 +109,7 @@
        milliseconds(1500)},
   };
   for (const auto& test_case : cases) {
-    for (std::uint64_t seed = 1; seed <= kSeeds; seed++) {
+    for (const auto seed : kSeeds) {
       BOOST_TEST_CONTEXT(test_case.name << ", seed " << seed) {
         std::mt19937_64 random(seed);
         const auto until = [&random](milliseconds most) {
