--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -289,7 +289,8 @@
     }
     listed.insert(running.task);
     if (task->stage == RunStage::kUnknown && task->IsSuspect()) {
-      task->first_start_sent_at = sent;  // A previous leader sent it just now.
+      // A previous leader may have sent it just now.
+      task->first_start_sent_at = sent;
     }
     if (task->stage == RunStage::kUnknown ||
         task->stage == RunStage::kStarting) {
