--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -70,7 +71,11 @@
   std::uint64_t batch = 0;  ///< Of the leader, that stores the assignment.
   Milliseconds term{};      ///< Since the leader took over.
 
-  auto operator<=>(const AssignmentTime&) const = default;
+  auto operator==(const AssignmentTime&) const -> bool = default;
+  auto operator<(const AssignmentTime& other) const -> bool {
+    return std::tie(this->epoch, this->batch, this->term) <
+           std::tie(other.epoch, other.batch, other.term);
+  }
 };
 
 /// Stored progress of a task.
