--- a/libs/cell/tests/crashing_cell.h
+++ b/libs/cell/tests/crashing_cell.h
@@ -63,6 +63,22 @@
     }
   }
 
+  /// Whether every job has ended.
+  auto HasEnded() const -> bool {
+    return std::all_of(this->specs.begin(), this->specs.end(),
+                       [this](const auto& entry) {
+                         return IsFinal(this->StateOf(entry.first.Text()));
+                       });
+  }
+  /// Runs for some time after every job has ended, or for the given time.
+  auto RunUntilEnded(Duration most) -> void {
+    const auto end = this->clock.Now() + most;
+    while (this->clock.Now() < end && !this->HasEnded()) {
+      this->Run(milliseconds(20));
+    }
+    this->Run(kTimeAfterEnd);
+  }
+
   auto StateOf(const std::string& job) const -> JobState {
     const auto found = this->stored.find(JobId(job));
     return found == this->stored.end() ? JobState::kQueued
@@ -94,6 +110,7 @@
   /// A crashed worker leaves the list after this time.
   static constexpr milliseconds kListedTime{2000};
   static constexpr milliseconds kRunTime{1000};
+  static constexpr milliseconds kTimeAfterEnd{3000};
   static constexpr milliseconds kCrashDelay{10};
 
   struct ActiveRun {
