--- /dev/null
+++ b/review/standin/wire.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace review::wire {
+
+#include "wire_names.inc"
+
+}  // namespace review::wire
