--- a/review/standin/cell.h
+++ b/review/standin/cell.h
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>  // NOLINT(modernize-deprecated-headers): POSIX names.
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -70,13 +71,22 @@
   }
 
   auto AddMinion(const Minion::Options& options,
-                 const Minion::Listener& listener,
-                 int port = 0) -> Minion& {
+                 const Minion::Listener& listener) -> Minion& {
+    auto& minion = this->StartMinion(options, listener, 0);
+    this->CheckIn(minion);
+    return minion;
+  }
+  /// Starts a minion that has not checked in yet; 0 means any port.
+  auto StartMinion(const Minion::Options& options,
+                   const Minion::Listener& listener,
+                   int port) -> Minion& {
     this->minions.push_back(
         std::make_unique<Minion>(options, listener, this->record, port));
-    auto& minion = *this->minions.back();
+    return *this->minions.back();
+  }
+  /// Writes the minion's entry into the store.
+  auto CheckIn(const Minion& minion) -> void {
     this->store.Put(wire::kMinionsTopic, minion.Id(), minion.Entry(1));
-    return minion;
   }
 
   /// Starts daemons and waits until all of them are ready.
@@ -273,6 +283,8 @@
     const auto log = this->folder + '/' + daemon.name + ".log";
     daemon.process = ::fork();
     if (daemon.process == 0) {
+      // Ends with the script, however that ends.
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(file, STDOUT_FILENO);
       ::dup2(file, STDERR_FILENO);
--- a/review/standin/minion.h
+++ b/review/standin/minion.h
@@ -37,6 +37,10 @@
                        const std::string& how)>
         on_end =
             [](const Minion&, const std::string&, int, const std::string&) {};
+    /// Whether the order is left unanswered, to be carried out late.
+    std::function<bool(const Request&)> holds_back = [](const Request&) {
+      return false;
+    };
     /// The end was taken note of: its number was acknowledged.
     std::function<void(const Minion&,
                        const std::string& task,
@@ -52,7 +56,11 @@
         record(record),
         ticker([this] { this->Tick(); }),
         server(std::make_unique<Server>(
-            [this](const Request& request) { return this->Handle(request); },
+            [this](const Request& request) {
+              return this->listener.holds_back(request)
+                         ? Response{0, "", Response::How::kSilent}
+                         : this->Handle(request);
+            },
             port)) {}
   ~Minion() { this->Crash(); }
   Minion(const Minion&) = delete;
@@ -75,6 +83,10 @@
                 {"labels", {"a", this->options.rack}}}
         .dump();
   }
+  /// Carries out an order, for example one that was held back.
+  auto CarryOut(const Request& request) -> Response {
+    return this->Handle(request);
+  }
   /// Ends all runs and connections at once, as a crash does.
   auto Crash() -> void {
     {
