Take a refusal for the copy of an append that it answers

Callers were told 503 for every attempt to submit a job, and the job ran. libcurl repeats a request whose kept connection closes before the response. The store carried out the first copy and refused the second one, and that refusal was taken for the outcome of the append. With batched appends one lost answer concerned several jobs.

A reply now tells whether a copy got no response; appends, calls on two paths, relayed calls and groups of records count as unknown then, so they are repeated and the caller gets 504 at the deadline.

--- a/apps/cell/record_writer.cc
+++ b/apps/cell/record_writer.cc
@@ -40,7 +40,8 @@
     return Verdict::kRan;
   }
   const bool is_refused =
-      reply.status == kStatusUnavailable || reply.status == kStatusBadRequest;
+      !reply.HasUnansweredCopy() &&
+      (reply.status == kStatusUnavailable || reply.status == kStatusBadRequest);
   return is_refused ? Verdict::kNotRun : Verdict::kMayHaveRun;
 }
 
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -78,10 +78,12 @@
                                       {"error", reply.error}});
   }
   // An outcome that is unknown on one path stays unknown unless another path
-  // gave a conclusive answer.
-  if (!IsConclusive(reply) && pending.may_have_run) {
+  // gave a conclusive answer. Even that answers for its own copy only.
+  if (!IsConclusive(reply) && pending.has_unanswered_copy) {
     reply.verdict = Verdict::kMayHaveRun;
     reply.status = 0;
+  } else if (pending.has_unanswered_copy || pending.paths_in_flight > 0) {
+    reply.send_count++;
   }
   pending.done(std::move(reply));
 }
@@ -169,8 +171,8 @@
     this->Complete(*pending, reply);
     return;
   }
-  pending->may_have_run =
-      pending->may_have_run || reply.verdict == Verdict::kMayHaveRun;
+  pending->has_unanswered_copy =
+      pending->has_unanswered_copy || reply.HasUnansweredCopy();
   if (pending->paths_in_flight > 0 ||
       this->TryPeer(pending, reply.verdict == Verdict::kRan)) {
     return;
@@ -246,10 +248,12 @@
   relayed.idempotent = true;  // Only idempotent calls are relayed.
   this->SendToPeer(endpoint, std::move(relayed),
                    [done = std::move(done)](http::Reply reply) {
-                     const bool is_relayed =
-                         http::FindHeader(reply.headers, kRelayedHeader) !=
-                         nullptr;
-                     if (reply.verdict != Verdict::kRan || !is_relayed) {
+                     const auto* origin =
+                         http::FindHeader(reply.headers, kRelayedHeader);
+                     if (origin != nullptr && *origin != kRelayedOnce) {
+                       reply.send_count++;
+                     }
+                     if (reply.verdict != Verdict::kRan || origin == nullptr) {
                        // The peer may have forwarded the call before it failed.
                        reply.verdict = reply.verdict == Verdict::kNotRun
                                            ? Verdict::kNotRun
@@ -301,7 +305,9 @@
           shared->Send({kStatusBadGateway, {}, reply.error});
           return;
         }
-        shared->Send({reply.status, {{kRelayedHeader, "1"}}, reply.body});
+        const auto* copies =
+            reply.HasUnansweredCopy() ? kRelayedRepeatedly : kRelayedOnce;
+        shared->Send({reply.status, {{kRelayedHeader, copies}}, reply.body});
       });
 }
 
--- a/apps/cell/store_gateway.h
+++ b/apps/cell/store_gateway.h
@@ -53,7 +53,8 @@
     int paths_in_flight = 0;
     bool has_tried_peer = false;
     bool is_completed = false;
-    bool may_have_run = false;  ///< On a path that ended without an answer.
+    /// A path that has ended left a copy without an answer.
+    bool has_unanswered_copy = false;
   };
 
   auto IsDirectPathSuspect(TimePoint now) const -> bool;
--- a/apps/cell/topics.h
+++ b/apps/cell/topics.h
@@ -33,7 +33,10 @@
 inline constexpr const char* kRelayUrlHeader = "Shallotbank-Relay-Url";
 inline constexpr const char* kRelayTimeoutHeader =
     "Shallotbank-Relay-Timeout-Ms";
-/// Marks a response as that of the service, not of the relaying peer.
+/// Marks a response as that of the service, not of the relaying peer. The value
+/// tells whether a copy of the call was sent before and got no response.
 inline constexpr const char* kRelayedHeader = "Shallotbank-Relayed";
+inline constexpr const char* kRelayedOnce = "1";
+inline constexpr const char* kRelayedRepeatedly = "2";
 
 }  // namespace shallotbank::cell
--- a/libs/http/include/http/client.h
+++ b/libs/http/include/http/client.h
@@ -35,10 +35,16 @@
   std::vector<Header> headers;
   std::string body;
   std::string error;  ///< Empty for a complete response.
-  /// How often the request was sent. With more than one, an earlier copy got no
-  /// response and may run as well, whatever the response says.
+  /// How often the request was sent, without copies that were refused. With
+  /// more than one, another copy got no response and may run as well, whatever
+  /// the response says.
   int send_count = 0;
 
+  /// Whether a copy of the request may have run, or may still run, that the
+  /// response says nothing about.
+  auto HasUnansweredCopy() const -> bool {
+    return this->verdict == Verdict::kMayHaveRun || this->send_count > 1;
+  }
   auto IsSuccess() const -> bool {
     return this->status >= 200 && this->status < 300;
   }
--- a/libs/http/tests/client_connection_test.cc
+++ b/libs/http/tests/client_connection_test.cc
@@ -81,6 +81,7 @@
     const auto reply = client.SendAndWait(MakeCall(closing.server.Url(), true));
     BOOST_TEST(reply.verdict == Verdict::kRan);
     BOOST_TEST(reply.send_count == send_count);
+    BOOST_TEST(reply.HasUnansweredCopy() == (send_count > 1));
   }
 }
 
