Give up no run on a poll whose list of ends is full

The leader is killed while 1,000 tasks of one worker end; the next one started some 400 of them again. A worker lists 500 ends at a time, and a run that was listed neither as running nor as ended counted as lost even though its end was still to come.

An answer with a full list is marked, and no run is given up on it. The ends it lists are stored and acknowledged, and the next answer brings the others.

--- a/libs/cell/include/cell/orders.h
+++ b/libs/cell/include/cell/orders.h
@@ -113,6 +113,8 @@
   std::optional<std::int64_t> born_unix_ms;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  /// The list of ends is full, so runs that are in neither list may have ended.
+  bool may_omit_ends = false;
 };
 
 /// Asks the advice service which workers may run a step.
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -308,6 +308,9 @@
     }
     this->TrackProgress(*task, running.percent, now);
   }
+  if (reply.may_omit_ends) {
+    return;  // A run that is not listed may have ended, perhaps as done.
+  }
   std::vector<LiveTask*> absent;
   for (auto& [name, task] : worker.tasks) {
     if (listed.contains(name)) {
--- a/libs/cell/tests/scheduler_fixture.h
+++ b/libs/cell/tests/scheduler_fixture.h
@@ -96,7 +96,8 @@
   /// Answers a poll that was sent just now.
   auto AnswerPoll(const std::string& worker,
                   std::vector<RunningTask> running = {},
-                  std::vector<EndedTask> ended = {}) -> void {
+                  std::vector<EndedTask> ended = {},
+                  bool may_omit_ends = false) -> void {
     PollReply reply;
     reply.outcome = OrderOutcome::kDone;
     reply.worker_clock =
@@ -104,6 +105,7 @@
     reply.born_unix_ms = 1;
     reply.running = std::move(running);
     reply.ended = std::move(ended);
+    reply.may_omit_ends = may_omit_ends;
     this->scheduler.OnPollReply(this->PollOrderFor(worker), reply,
                                 this->clock.Now(), this->clock.Now());
   }
--- a/libs/cell/tests/takeover_test.cc
+++ b/libs/cell/tests/takeover_test.cc
@@ -111,6 +111,44 @@
   BOOST_TEST(starts[0].run == 2);
 }
 
+struct FullListCase {
+  const char* name;
+  bool is_assigned_by_previous_leader;
+};
+
+// Guards against a second run of tasks whose ends did not fit into the worker's
+// list: they are listed neither as running nor as ended.
+BOOST_AUTO_TEST_CASE(runs_whose_ends_are_not_listed_yet_are_not_lost) {
+  const FullListCase cases[] = {{"runs of a previous leader", true},
+                                {"runs of this leader", false}};
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      SchedulerFixture cell(2);
+      cell.AddWorker("w1");
+      if (test_case.is_assigned_by_previous_leader) {
+        cell.scheduler.OnJob(cell.Job("a", 3, 1000), AssignedTo("w1", 3),
+                             cell.clock.Now());
+      } else {
+        cell.scheduler.OnJob(cell.Job("a", 3, 1000), {}, cell.clock.Now());
+        for (const auto& order : cell.Starts()) {
+          cell.Answer(order, OrderOutcome::kDone);
+        }
+      }
+      const auto end = [](std::size_t index) -> EndedTask {
+        return {index + 1, TaskName(JobId("a"), 0, 0, index), 1, EndKind::kDone,
+                ""};
+      };
+      cell.AnswerPoll("w1", {}, {end(0), end(1)}, /*may_omit_ends=*/true);
+      BOOST_TEST(cell.scheduler.Count().assigned_tasks == 1U);
+      BOOST_TEST(cell.Starts().empty());
+      cell.AnswerPoll("w1", {}, {end(2)});
+      BOOST_TEST(cell.Starts().empty());
+      BOOST_TEST(
+          (DecodeState(cell.stored[JobId("a")]) == JobState::kCompleted));
+    }
+  }
+}
+
 // A leader that was paused for some seconds may have been replaced. A worker
 // that started again meanwhile does not know the epoch of the next leader and
 // would execute the order of the first one.
