Store the progress of a large job in segments

One accepted job of 7,000 tasks stopped every job of the system for good. Its progress was one record, which exceeded the longest record of the store from some 6,000 assigned tasks on. The store refused the append as invalid and the leader repeated it every 50 ms; all later progress waited behind it.

Progress above half of a record is stored in segments with keys of their own, in the same append as the job's record. Only changed segments are written again. Overlong checkpoints are ignored and occurrences of one job wait for those before them, so what a job stores is bounded. A segment that is missing or damaged makes the progress unreadable, since its tasks would otherwise count as waiting and run again. An append that is refused as invalid is logged.

--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -125,6 +125,7 @@
   options.fence = this->epoch;
   options.lease = std::min(kLease, this->runtime.host.max_lease);
   options.previous_authority_end = this->previous_authority_end;
+  options.max_record_bytes = this->runtime.host.max_record_bytes;
   const auto now = this->runtime.clock.Now();
   this->scheduler = std::make_unique<Scheduler>(options, now);
   this->scheduler->OnConfiguration(view.configuration.cell);
@@ -154,7 +155,11 @@
     }
     progress = std::move(*read);
   }
-  if (!spec) {
+  Segments segments;
+  for (const auto& [key, segment] : job.segments) {
+    segments.emplace(key, segment.second);
+  }
+  if (!spec || !RestoreSegments(*spec, segments, progress)) {
     LogEvent(Event::kLogRecordInvalid, {{"job", id.Text()}});
     return;
   }
@@ -384,7 +389,11 @@
   request.stamp = {kProgressProducer, this->epoch,
                    this->sequence_base + number};
   request.timeout = kAppendTimeout;
-  for (const auto& [job, bytes] : this->pending_batches[number].batch.records) {
+  const auto& batch = this->pending_batches[number].batch;
+  for (const auto& [key, bytes] : batch.segments) {
+    request.records.push_back({key, bytes});
+  }
+  for (const auto& [job, bytes] : batch.records) {
     request.records.push_back({job.Text(), bytes});
   }
   this->store.Send(adapter::MakeAppendCall(this->runtime.host.store, request),
@@ -402,9 +411,10 @@
     return;  // Confirmed by a later batch; other hosts read it from the store.
   }
   std::vector<ProgressUpdate> updates;
-  for (const auto& [job, bytes] : found->second.batch.records) {
-    updates.push_back(
-        {job.Text(), bytes.substr(0, 1), offset + updates.size()});
+  const auto& batch = found->second.batch;
+  const auto first = offset + batch.segments.size();
+  for (const auto& [job, bytes] : batch.records) {
+    updates.push_back({job.Text(), bytes.substr(0, 1), first + updates.size()});
   }
   this->on_progress_stored(updates);
 }
@@ -429,6 +439,31 @@
   }
 }
 
+auto Leader::ReportRefusal(PendingBatch& pending, const http::Reply& reply)
+    -> void {
+  // Other refusals are those of a store that is busy or down.
+  constexpr int kStatusBadRequest = 400;
+  constexpr int kStatusTooLarge = 413;
+  if (pending.is_refusal_reported ||
+      (reply.status != kStatusBadRequest && reply.status != kStatusTooLarge)) {
+    return;
+  }
+  pending.is_refusal_reported = true;
+  std::size_t bytes = 0;
+  for (const auto& [key, value] : pending.batch.segments) {
+    bytes += value.value_or("").size();
+  }
+  for (const auto& [job, value] : pending.batch.records) {
+    bytes += value.size();
+  }
+  LogEvent(Event::kProgressRefused,
+           {{"status", std::to_string(reply.status)},
+            {"records", std::to_string(pending.batch.segments.size() +
+                                       pending.batch.records.size())},
+            {"bytes", std::to_string(bytes)},
+            {"answer", reply.body}});
+}
+
 auto Leader::OnBatchReply(std::uint64_t number, const http::Reply& reply)
     -> void {
   using Outcome = adapter::AppendResult::Outcome;
@@ -449,6 +484,7 @@
     return;
   }
   if (result.outcome != Outcome::kSequenceMismatch) {
+    this->ReportRefusal(found->second, reply);
     return;
   }
   if (!this->is_sequence_base_known) {
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -70,6 +70,14 @@
   auto GetEpoch() const -> Epoch { return this->epoch; }
 
  private:
+  struct PendingBatch {
+    ProgressBatch batch;
+    bool is_in_flight = false;
+    TimePoint next_send;
+    TimePoint created_at;
+    bool is_refusal_reported = false;
+  };
+
   auto StartScheduling(const View& view) -> void;
   auto AddJob(const JobId& id, const StoredJob& job) -> void;
   /// Withholds the authority to start tasks while the view of the workers is
@@ -83,6 +91,9 @@
   auto SendAdviceQuery(AdviceQuery query) -> void;
   auto SendBatches() -> void;
   auto SendBatch(std::uint64_t number) -> void;
+  /// Logs that the store refuses the batch as invalid.
+  static auto ReportRefusal(PendingBatch& pending, const http::Reply& reply)
+      -> void;
   auto OnBatchReply(std::uint64_t number, const http::Reply& reply) -> void;
   auto OnBatchStored(std::uint64_t number) -> void;
   auto PublishProgress(std::uint64_t number, Offset offset) -> void;
@@ -107,12 +118,6 @@
   /// Endpoints of the hosts that send advice queries; empty for this host.
   std::vector<std::string> advisors;
   /// A batch that is not known to be stored yet.
-  struct PendingBatch {
-    ProgressBatch batch;
-    bool is_in_flight = false;
-    TimePoint next_send;
-    TimePoint created_at;
-  };
   /// By number within the epoch.
   std::map<std::uint64_t, PendingBatch> pending_batches;
   std::uint64_t next_batch_number = 0;
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -27,6 +27,7 @@
   kSnapshotWritten = 2005,
   kProgressSequence = 2006,
   kRecordsReturned = 2007,
+  kProgressRefused = 2008,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -44,6 +44,7 @@
     EventEntry{Event::kSnapshotWritten, Severity::kInfo, "snapshot-written"},
     EventEntry{Event::kProgressSequence, Severity::kWarning, "progress-sequence"},
     EventEntry{Event::kRecordsReturned, Severity::kWarning, "records-returned"},
+    EventEntry{Event::kProgressRefused, Severity::kError, "progress-refused"},
     EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
     EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
     EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -92,12 +92,18 @@
   WorkerIncarnation worker;  ///< Of the latest run, while the task is assigned.
   AssignmentTime assigned_at;  ///< Of the latest run, while it is assigned.
   std::string checkpoint;      ///< Where the next run resumes; empty if none.
+
+  auto operator==(const TaskProgress&) const -> bool = default;
 };
 
 /// Progress of one occurrence of a job's steps.
 struct OccurrenceProgress {
   std::size_t number = 0;
   std::vector<std::vector<TaskProgress>> steps;
+  /// The tasks are stored in segments of so many, each a record of its own,
+  /// because one record cannot hold them all; 0 if they are stored with the
+  /// job.
+  std::size_t segment_size = 0;
 };
 
 /// Stored progress of a job; its specification is stored separately.
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -21,6 +22,9 @@
   /// Empty until progress has been read, and once the job has ended.
   std::string progress_bytes;
   Offset progress_offset = 0;  ///< Of the record that contains the progress.
+  /// Segments of the progress by key, each with the offset of its record. Empty
+  /// once the job has ended.
+  std::map<std::string, std::pair<Offset, std::string>> segments;
   JobState state = JobState::kQueued;
   Offset state_offset = 0;  ///< Of the record that contains the state.
   /// The specification has been read, or the end of the job.
@@ -60,8 +64,8 @@
                       TimePoint now,
                       std::chrono::system_clock::time_point wall)
       -> const StoredJob*;
-  /// Handles a record of the topic of progress; no value means that the job is
-  /// forgotten. A record older than the known
+  /// Handles a record of the topic of progress, also a segment; no value means
+  /// that the job is forgotten, or the segment. A record older than the known
   /// progress of the job is ignored, because the leader's progress updates
   /// arrive before their records are read.
   auto OnProgressRecord(const std::string& key,
@@ -104,6 +108,10 @@
   auto InvalidRecords() const -> std::size_t { return this->invalid_records; }
 
  private:
+  auto OnSegmentRecord(const JobId& id,
+                       const std::string& key,
+                       std::optional<std::string> value,
+                       Offset offset) -> void;
   auto SetState(StoredJob& job, JobState state, Offset offset, TimePoint now)
       -> void;
   auto IsWaiting(const StoredJob& job) const -> bool;
--- a/libs/cell/include/cell/orders.h
+++ b/libs/cell/include/cell/orders.h
@@ -141,6 +141,9 @@
 struct ProgressBatch {
   std::uint64_t sequence = 0;
   std::vector<std::pair<JobId, std::string>> records;
+  /// Segments of the progress by key; no value removes one. They are stored
+  /// before the records, in the same call.
+  std::vector<std::pair<std::string, std::optional<std::string>>> segments;
 };
 
 /// An event to be logged.
--- a/libs/cell/include/cell/records.h
+++ b/libs/cell/include/cell/records.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +22,24 @@
 /// readers that need only the state do not decode the rest.
 auto EncodeProgress(const JobProgress& progress) -> std::string;
 auto DecodeProgress(std::string_view bytes) -> std::optional<JobProgress>;
+
+/// Encoded segments of a job's progress by their keys in the store.
+using Segments = std::map<std::string, std::string>;
+/// A segment holds the tasks of one occurrence from `number * segment_size` on,
+/// counted through all steps.
+auto SegmentKey(const JobId& job, std::size_t occurrence, std::size_t number)
+    -> std::string;
+/// The job of a segment, or nothing if the key is not that of a segment.
+auto JobOfSegment(const std::string& key) -> std::optional<JobId>;
+auto EncodeSegment(const std::vector<TaskProgress>& tasks) -> std::string;
+/// Whether the bytes are those of a segment, without decoding them.
+auto IsSegment(std::string_view bytes) -> bool;
+/// Adds the tasks that are stored in segments to decoded progress. Returns
+/// false if a segment is missing or cannot be read.
+auto RestoreSegments(const JobSpec& job,
+                     const Segments& segments,
+                     JobProgress& progress) -> bool;
+
 /// A stored change of a job's state, as the leader sends it to the other hosts.
 struct ProgressUpdate {
   std::string job;
--- a/libs/cell/include/cell/scheduler.h
+++ b/libs/cell/include/cell/scheduler.h
@@ -19,6 +19,8 @@
   Milliseconds lease{6000};
   /// Latest time at which the previous leader may have sent a lease renewal.
   TimePoint previous_authority_end;
+  /// Longest record that the store takes.
+  std::size_t max_record_bytes = 262'144;
 };
 
 /// What a leader may do at the moment.
--- a/libs/cell/src/batches.cc
+++ b/libs/cell/src/batches.cc
@@ -12,6 +12,12 @@
 /// Maximum number of batches in flight. A second one halves the time that a
 /// decision waits for the store; more would only make the batches smaller.
 constexpr std::size_t kMaxPendingBatches = 2;
+/// Upper bound of the encoded size of one task. Checkpoints are bounded where
+/// they are read.
+constexpr std::size_t kMaxTaskBytes = 128;
+/// Share of the longest record that a job's record or a segment may take, as a
+/// divisor. Smaller segments mean that a change rewrites less.
+constexpr std::size_t kRecordShare = 2;
 
 }  // namespace
 
@@ -25,11 +31,15 @@
     return progress;
   }
   for (const auto& occurrence : job.occurrences) {
-    if (occurrence.unfinished_steps == 0 && job.spec.occurrence_count > 0) {
+    if (job.IsOver(occurrence)) {
       continue;
     }
     auto& stored = progress.occurrences.emplace_back();
     stored.number = occurrence.number;
+    stored.segment_size = occurrence.segment_size;
+    if (occurrence.segment_size > 0) {
+      continue;
+    }
     for (const auto& step : occurrence.steps) {
       auto& tasks = stored.steps.emplace_back();
       for (const auto& task : step.tasks) {
@@ -40,6 +50,56 @@
   return progress;
 }
 
+auto Scheduler::Core::EncodeProgressOf(LiveJob& job) const -> std::string {
+  const auto limit = this->options.max_record_bytes / kRecordShare;
+  auto record = EncodeProgress(this->ToProgress(job));
+  if (record.size() <= limit) {
+    return record;
+  }
+  for (auto& occurrence : job.occurrences) {
+    if (occurrence.segment_size == 0) {
+      occurrence.segment_size = std::max<std::size_t>(1, limit / kMaxTaskBytes);
+    }
+  }
+  return EncodeProgress(this->ToProgress(job));
+}
+
+auto Scheduler::Core::AddSegments(LiveJob& job, ProgressBatch& batch) -> void {
+  for (auto& occurrence : job.occurrences) {
+    if (occurrence.segment_size == 0) {
+      continue;
+    }
+    const auto key = [&](std::size_t number) {
+      return SegmentKey(job.spec.id, occurrence.number, number);
+    };
+    auto& stored = occurrence.stored_segments;
+    if (IsFinal(job.state) || job.IsOver(occurrence)) {
+      for (std::size_t i = 0; i < stored.size(); i++) {
+        batch.segments.emplace_back(key(i), std::nullopt);
+      }
+      stored.clear();
+      continue;
+    }
+    std::vector<std::vector<TaskProgress>> segments;
+    for (const auto& step : occurrence.steps) {
+      for (const auto& task : step.tasks) {
+        if (segments.empty() ||
+            segments.back().size() == occurrence.segment_size) {
+          segments.emplace_back();
+        }
+        segments.back().push_back(task.persistent);
+      }
+    }
+    stored.resize(segments.size());
+    for (std::size_t i = 0; i < segments.size(); i++) {
+      if (segments[i] != stored[i]) {
+        batch.segments.emplace_back(key(i), EncodeSegment(segments[i]));
+        stored[i] = std::move(segments[i]);
+      }
+    }
+  }
+}
+
 auto Scheduler::Core::AddUnstoredCompletions(PendingBatch& batch) -> void {
   std::erase_if(this->unstored_completions, [&](const WorkerId& id) {
     const auto found = this->workers.find(id);
@@ -90,8 +150,13 @@
         }
       }
     }
-    auto record = EncodeProgress(this->ToProgress(*job));
+    auto record = this->EncodeProgressOf(*job);
+    const auto first_segment = batch.segments.size();
+    AddSegments(*job, batch);
     bytes += record.size();
+    for (auto i = first_segment; i < batch.segments.size(); i++) {
+      bytes += batch.segments[i].second.value_or("").size();
+    }
     pending.jobs.push_back(job->spec.id);
     batch.records.emplace_back(job->spec.id, std::move(record));
   }
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -24,6 +24,7 @@
   if (IsFinal(job.state)) {
     Release(job.spec_bytes);
     Release(job.progress_bytes);
+    job.segments.clear();
   }
 }
 
@@ -134,6 +135,10 @@
                                 std::optional<std::string> value,
                                 Offset offset,
                                 TimePoint now) -> void {
+  if (const auto job = JobOfSegment(key)) {
+    this->OnSegmentRecord(*job, key, std::move(value), offset);
+    return;
+  }
   const JobId id(key);
   if (!value) {
     this->unknown_jobs.erase(id);
@@ -168,6 +173,34 @@
   }
 }
 
+auto JobTable::OnSegmentRecord(const JobId& id,
+                               const std::string& key,
+                               std::optional<std::string> value,
+                               Offset offset) -> void {
+  if (!value) {
+    const auto found = this->jobs.find(id);
+    if (found != this->jobs.end()) {
+      std::erase_if(found->second.segments, [&](const auto& entry) {
+        return entry.first == key && entry.second.first <= offset;
+      });
+    }
+    return;
+  }
+  if (!IsSegment(*value)) {
+    this->invalid_records++;
+    return;
+  }
+  auto& job = this->jobs[id];
+  if (IsFinal(job.state)) {
+    return;
+  }
+  auto& [known_offset, bytes] = job.segments[key];
+  if (offset >= known_offset) {
+    known_offset = offset;
+    bytes = std::move(*value);
+  }
+}
+
 auto JobTable::OnStateUpdate(const std::string& key,
                              JobState state,
                              Offset offset,
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -9,6 +9,9 @@
 /// seconds of that rate. A burst of one second is ordinary traffic.
 constexpr double kRateBurstSeconds = 2;
 constexpr std::int64_t kMilli = 1000;
+/// An occurrence of a job begins only while those before it have fewer
+/// unfinished tasks, which bounds what is stored of one job.
+constexpr std::size_t kMaxTasksBeforeOccurrence = 10'000;
 
 }  // namespace
 
@@ -134,6 +137,7 @@
                                         const OccurrenceProgress& stored,
                                         TimePoint now) -> void {
   auto& occurrence = this->BeginOccurrence(job, stored.number);
+  occurrence.segment_size = stored.segment_size;
   const auto steps = std::min(occurrence.steps.size(), stored.steps.size());
   for (std::size_t i = 0; i < steps; i++) {
     auto& step = occurrence.steps[i];
@@ -163,6 +167,15 @@
       occurrence.unfinished_steps--;
     }
   }
+  if (occurrence.segment_size > 0) {
+    std::size_t task_count = 0;
+    for (const auto& step : occurrence.steps) {
+      task_count += step.tasks.size();
+    }
+    // Empty ones are written again, or removed at the end of the job.
+    occurrence.stored_segments.resize(
+        (task_count + occurrence.segment_size - 1) / occurrence.segment_size);
+  }
   this->UpdateReady(occurrence);
 }
 
@@ -193,7 +206,8 @@
   for (auto* job : this->recurring_jobs) {
     while (job->next_occurrence < job->spec.occurrence_count &&
            wall >= job->spec.first_due +
-                       job->spec.interval * job->next_occurrence) {
+                       job->spec.interval * job->next_occurrence &&
+           job->CountStoredTasks() < kMaxTasksBeforeOccurrence) {
       this->UpdateReady(this->BeginOccurrence(*job, job->next_occurrence));
       job->next_occurrence++;
       this->MarkDirty(*job);
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -148,6 +148,10 @@
   std::size_t number = 0;
   std::deque<LiveStep> steps;
   std::size_t unfinished_steps = 0;
+  /// See OccurrenceProgress.
+  std::size_t segment_size = 0;
+  /// The tasks of each segment as they were last sent to the store.
+  std::vector<std::vector<TaskProgress>> stored_segments;
   /// Estimated time of the critical path through the steps that are not done.
   Duration remaining_path{};
 };
@@ -166,6 +170,24 @@
   /// Exceeded the organisation's rate when accepted.
   bool exceeds_rate = false;
 
+  /// Whether all tasks of the occurrence are done and it is not stored any
+  /// more.
+  auto IsOver(const LiveOccurrence& occurrence) const -> bool {
+    return occurrence.unfinished_steps == 0 && this->spec.occurrence_count > 0;
+  }
+  /// Number of tasks in the occurrences that are stored.
+  auto CountStoredTasks() const -> std::size_t {
+    std::size_t count = 0;
+    for (const auto& occurrence : this->occurrences) {
+      if (this->IsOver(occurrence)) {
+        continue;
+      }
+      for (const auto& step : occurrence.steps) {
+        count += step.tasks.size();
+      }
+    }
+    return count;
+  }
   /// Whether tasks of a ready step are not placed.
   auto HasWaitingStep() const -> bool {
     for (const auto& occurrence : this->occurrences) {
--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -1,5 +1,6 @@
 #include "cell/records.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -13,6 +14,12 @@
 using Json = nlohmann::json;
 
 constexpr char kStateBase = '0';
+/// First byte of a segment. Not that of a state, so that earlier releases
+/// ignore the record.
+constexpr char kSegmentMark = 'S';
+/// Stands for the steps of an occurrence that is stored in segments. Earlier
+/// releases reject the record instead of taking the tasks for waiting ones.
+constexpr const char* kInSegments = "segments";
 /// Records of earlier releases do not have this field and end before it.
 constexpr std::size_t kSubmittedAtIndex = 8;
 
@@ -166,6 +173,11 @@
   }
   auto occurrences = Json::array();
   for (const auto& occurrence : progress.occurrences) {
+    if (occurrence.segment_size > 0) {
+      occurrences.push_back(Json::array(
+          {occurrence.number, kInSegments, occurrence.segment_size}));
+      continue;
+    }
     auto steps = Json::array();
     for (const auto& step : occurrence.steps) {
       auto tasks = Json::array();
@@ -180,6 +192,70 @@
                      {progress.next_occurrence, std::move(occurrences)}));
 }
 
+auto SegmentKey(const JobId& job, std::size_t occurrence, std::size_t number)
+    -> std::string {
+  return job.Text() + '/' + std::to_string(occurrence) + '/' +
+         std::to_string(number);
+}
+
+auto JobOfSegment(const std::string& key) -> std::optional<JobId> {
+  const auto end = key.find('/');
+  if (end == std::string::npos) {
+    return std::nullopt;
+  }
+  return JobId(key.substr(0, end));
+}
+
+auto EncodeSegment(const std::vector<TaskProgress>& tasks) -> std::string {
+  auto rows = Json::array();
+  for (const auto& task : tasks) {
+    rows.push_back(ToJson(task));
+  }
+  return kSegmentMark + ToText(rows);
+}
+
+auto IsSegment(std::string_view bytes) -> bool {
+  return !bytes.empty() && bytes.front() == kSegmentMark;
+}
+
+auto RestoreSegments(const JobSpec& job,
+                     const Segments& segments,
+                     JobProgress& progress) -> bool {
+  for (auto& occurrence : progress.occurrences) {
+    if (occurrence.segment_size == 0) {
+      continue;
+    }
+    std::vector<TaskProgress*> tasks;
+    occurrence.steps.clear();
+    for (const auto& step : job.steps) {
+      occurrence.steps.emplace_back(step.task_count);
+    }
+    for (auto& step : occurrence.steps) {
+      for (auto& task : step) {
+        tasks.push_back(&task);
+      }
+    }
+    for (std::size_t i = 0; i < tasks.size(); i += occurrence.segment_size) {
+      const auto found = segments.find(
+          SegmentKey(job.id, occurrence.number, i / occurrence.segment_size));
+      if (found == segments.end() || !IsSegment(found->second)) {
+        return false;
+      }
+      try {
+        const auto rows =
+            json::ParseMessagePack(std::string_view(found->second).substr(1));
+        const auto count = std::min(occurrence.segment_size, tasks.size() - i);
+        for (std::size_t row = 0; row < count; row++) {
+          *tasks[i + row] = TaskFromJson(rows.at(row));
+        }
+      } catch (const Json::exception&) {
+        return false;  // The caller logs the skipped record.
+      }
+    }
+  }
+  return true;
+}
+
 auto EncodeGroup(const RecordGroup& group) -> std::string {
   auto rows = Json::array();
   for (const auto& [key, value] : group) {
@@ -323,6 +399,11 @@
     for (const auto& entry : row.at(1)) {
       OccurrenceProgress occurrence;
       occurrence.number = entry.at(0);
+      if (entry.at(1).is_string()) {
+        occurrence.segment_size = entry.at(2);
+        progress.occurrences.push_back(std::move(occurrence));
+        continue;
+      }
       for (const auto& step : entry.at(1)) {
         auto& tasks = occurrence.steps.emplace_back();
         for (const auto& task : step) {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -336,6 +336,10 @@
   auto BuildBatch() -> std::optional<ProgressBatch>;
   auto AddUnstoredCompletions(PendingBatch& batch) -> void;
   auto ToProgress(const LiveJob& job) const -> JobProgress;
+  /// Encodes the job's progress, in segments if it is too large for a record.
+  auto EncodeProgressOf(LiveJob& job) const -> std::string;
+  /// Adds the segments that have changed or are not needed any more.
+  static auto AddSegments(LiveJob& job, ProgressBatch& batch) -> void;
 
   auto AddNote(Event event,
                std::vector<std::pair<std::string, std::string>> fields) -> void;
