Send starts to a worker in portions

A job of 9,000 tasks on four workers hardly began: its starts were all sent at once, and those that waited 400 ms for the few connections to a worker counted as undelivered. Their tasks were placed and stored again, and their next starts failed in the same way.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -21,6 +21,9 @@
 /// Workers let a member wait 4 s for the others; the rest of that time is for
 /// the stop orders.
 constexpr std::chrono::milliseconds kGangStartTimeout{2000};
+/// Starts in flight to one worker. Few connections lead to it, so further ones
+/// would time out before they are sent.
+constexpr std::ptrdiff_t kMaxStartsInFlight = 64;
 
 auto ToMilliseconds(Duration time) -> std::string {
   return std::to_string(
@@ -473,6 +476,9 @@
                                       std::vector<WithdrawnStart>& withdrawn)
     -> void {
   auto expected_use = worker.used;
+  auto starts_in_flight = std::count_if(
+      worker.tasks.begin(), worker.tasks.end(),
+      [](const auto& entry) { return entry.second->is_start_in_flight; });
   for (auto& [name, task] : worker.tasks) {
     if (task->stop_requested) {
       this->SendStop(worker, *task, now, decisions);
@@ -495,8 +501,9 @@
       withdrawn.push_back({task, "no-room"});
     } else if (is_expired && !task->is_start_uncertain) {
       withdrawn.push_back({task, "ticket-expired"});
-    } else {
+    } else if (starts_in_flight < kMaxStartsInFlight) {
       this->SendStart(worker, *task, now, decisions);
+      starts_in_flight++;
     }
   }
 }
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -720,6 +720,25 @@
   BOOST_TEST(after[0].acknowledged == 0);
 }
 
+// Guards against starts that time out before they are sent, because thousands
+// wait for the few connections to one worker: their tasks were placed again and
+// again, and hardly any began.
+BOOST_AUTO_TEST_CASE(starts_to_one_worker_are_sent_in_portions) {
+  constexpr std::size_t kTasks = 200;
+  constexpr std::size_t kInFlight = 64;
+  SchedulerFixture cell;
+  cell.AddWorker("w1");
+  cell.scheduler.OnJob(cell.Job("a", kTasks, 100), {}, cell.clock.Now());
+  const auto first = cell.Starts();
+  BOOST_REQUIRE(first.size() == kInFlight);
+  BOOST_TEST(cell.Decide().starts.empty());
+  for (std::size_t i = 0; i < 10; i++) {
+    cell.Answer(first[i], OrderOutcome::kDone);
+  }
+  BOOST_TEST(cell.Decide().starts.size() == 10U);
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == kTasks);
+}
+
 // The answer of the earlier incarnation is handled after the restart is known.
 BOOST_AUTO_TEST_CASE(a_late_confirmation_does_not_replace_the_stop) {
   StartedTaskCell cell;
