Acknowledge completions only once

Every poll repeated the acknowledgement of all stored completions. A poll that is executed late may reach the next incarnation of its worker, whose completions are numbered anew, and discard them unseen; their tasks would then count as lost and run a second time.

A poll acknowledges completions only until one that did so was answered, so almost all polls acknowledge nothing. completions_are_acknowledged_only_once failed before. No play has shown the fault itself.

--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -28,7 +28,7 @@
 
   std::uint64_t completions_seen = 0;
   std::uint64_t completions_stored = 0;
-  std::uint64_t completions_acknowledged = 0;  ///< By the latest answered poll.
+  std::uint64_t completions_acknowledged = 0;  ///< By answered polls.
 
   /// When the connection of a poll was first lost since the last answer, rather
   /// than the answer being late; shows when a worker ended.
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -475,9 +475,13 @@
     PollOrder order;
     order.target = this->TargetOf(worker);
     // Until it answers again, the worker may be another incarnation, whose
-    // completions must not be discarded unseen.
-    order.acknowledged =
-        worker.unanswered_polls > 0 ? 0 : worker.completions_stored;
+    // completions must not be discarded unseen. For the same reason nothing is
+    // acknowledged twice: a poll may be executed late.
+    const bool is_acknowledged =
+        worker.completions_stored <= worker.completions_acknowledged;
+    order.acknowledged = worker.unanswered_polls > 0 || is_acknowledged
+                             ? 0
+                             : worker.completions_stored;
     // The worker's clock is unknown before its first answer.
     if (may_renew && worker.is_attached && worker.unanswered_polls == 0) {
       order.lease_until = this->ExtendLease(worker, now);
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -720,6 +720,29 @@
   BOOST_TEST(after[0].acknowledged == 0);
 }
 
+// Guards against a poll that is executed late, by the next incarnation of the
+// worker, and discards its completions unseen.
+BOOST_AUTO_TEST_CASE(completions_are_acknowledged_only_once) {
+  StartedTaskCell cell;
+  cell.Answer(cell.order, OrderOutcome::kDone);
+  cell.AnswerPoll("w1", {}, {Ended(cell.order, EndKind::kDone, 1)});
+  cell.Decide();
+  cell.Store();
+  const auto first = cell.Decide().polls;
+  BOOST_REQUIRE(first.size() == 1);
+  BOOST_TEST(first[0].acknowledged == 1U);
+  PollReply reply;
+  reply.outcome = OrderOutcome::kDone;
+  reply.worker_clock =
+      std::chrono::floor<Milliseconds>(cell.clock.Now().time_since_epoch());
+  reply.born_unix_ms = 1;
+  cell.scheduler.OnPollReply(first[0], reply, cell.clock.Now(),
+                             cell.clock.Now());
+  const auto second = cell.Decide().polls;
+  BOOST_REQUIRE(second.size() == 1);
+  BOOST_TEST(second[0].acknowledged == 0U);
+}
+
 // Guards against starts that time out before they are sent, because thousands
 // wait for the few connections to one worker: their tasks were placed again and
 // again, and hardly any began.
