Reject segmented progress without a segment size

An empty size stands for tasks that are stored with the job, so such a record would make all tasks of the occurrence count as waiting. progress_without_a_segment_size_is_rejected covers it; it was written with the change and not seen failing.

--- a/libs/cell/src/records.cc
+++ b/libs/cell/src/records.cc
@@ -401,6 +401,9 @@
       occurrence.number = entry.at(0);
       if (entry.at(1).is_string()) {
         occurrence.segment_size = entry.at(2);
+        if (occurrence.segment_size == 0) {
+          return std::nullopt;  // Its tasks must not count as waiting.
+        }
         progress.occurrences.push_back(std::move(occurrence));
         continue;
       }
--- a/libs/cell/tests/progress_segments_test.cc
+++ b/libs/cell/tests/progress_segments_test.cc
@@ -184,6 +184,17 @@
   BOOST_TEST(!read(incomplete));
 }
 
+// Guards against an empty segment size, which would stand for tasks that are
+// stored with the job: all of them would count as waiting.
+BOOST_AUTO_TEST_CASE(progress_without_a_segment_size_is_rejected) {
+  JobProgress progress;
+  progress.occurrences.push_back({0, {}, 5});
+  auto bytes = EncodeProgress(progress);
+  BOOST_TEST(DecodeProgress(bytes).has_value());
+  bytes.back() = '\0';
+  BOOST_TEST(!DecodeProgress(bytes).has_value());
+}
+
 // Guards against occurrences of a job that pile up without bound while those
 // before them do not end.
 BOOST_AUTO_TEST_CASE(occurrences_wait_for_those_before_them) {
