Take no refused repeat of a command for one that did not run

shallotbank-sched took a 409 or 412 of a worker for proof that a start had not been sent, also if the HTTP client had repeated the command after the first copy got no response. The attempt was given up at once, though it may run.

Such an attempt stays assigned until a heartbeat tells.

--- a/apps/sched/shard_runner.cc
+++ b/apps/sched/shard_runner.cc
@@ -233,6 +233,9 @@
   constexpr int kPreconditionFailed = 412;
   const auto now = SystemClock().Now();
   const auto witness = ToWitness(command.worker);
+  // A refusal says nothing about an earlier copy that got no response.
+  const auto refused =
+      reply.HasUnansweredCopy() ? Verdict::kMayHaveRun : Verdict::kNotRun;
   if (reply.status == kConflict) {
     const auto highest = worker_protocol::DecodeHighestEpoch(reply.body);
     if (highest && !this->authority.IsSuperseded()) {
@@ -241,11 +244,11 @@
                                        {"worker", command.worker.Text()}});
       this->authority.ConfirmByWitness(witness, highest.value(), sent_at, now);
     }
-    this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, now);
+    this->scheduler.HandleFailure(command.worker, refused, now);
     return;
   }
   if (reply.status == kPreconditionFailed) {
-    this->scheduler.HandleFailure(command.worker, Verdict::kNotRun, now);
+    this->scheduler.HandleFailure(command.worker, refused, now);
     return;
   }
   if (!reply.IsSuccess() ||
