--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -31,7 +31,7 @@
                                  {"cpu", 100},
                                  {"memMb", 10},
                                  {"estimateMs", 4000},
-                                 {"antiAffinity", kTasksOnMinion}}));
+                                 {kMostOnMinion, kTasksOnMinion}}));
     if (status != 200) {
       return kCouldNotRun;
     }
--- a/review/stand-in-2/stand_in.cc
+++ b/review/stand-in-2/stand_in.cc
@@ -246,7 +246,7 @@
           {"quotaOverage", 0.1},
           {"quotaSlack", 20},
           {"recoverS", 12},
-          {"holdMaxMs", 10000},
+          {kMaxHold, 10000},
           {"stopGraceMs", 900},
           {"gangWaitMs", 3000},
           {"cancel_ms", 3000},
@@ -466,14 +466,14 @@
   if (what == Fate::kSilent) {
     return std::nullopt;
   }
-  if (request.path == "/shallotbank/log-append") {
+  if (request.path == kAppendPath) {
     const auto answer = this->Append(request);
     return what == Fate::kAnswerLost ? std::nullopt : std::optional(answer);
   }
-  if (request.path == "/shallotbank/log-read") {
+  if (request.path == kReadPath) {
     return this->Read(request);
   }
-  if (request.path == "/shallotbank/log-newest") {
+  if (request.path == kNewestPath) {
     return this->ReadNewest(request);
   }
   return Answer{404, ""};
@@ -566,7 +566,7 @@
   const auto& topic = this->topics[Query(request, "topic")];
   auto items = Json::array();
   bool is_truncated = false;
-  for (auto one = topic.newest.upper_bound(Query(request, "dependsOn"));
+  for (auto one = topic.newest.upper_bound(Query(request, kAfterKey));
        one != topic.newest.end(); ++one) {
     if (items.size() == 500) {
       is_truncated = true;
@@ -713,14 +713,14 @@
 auto Worker::Beat() -> void {
   this->last_beat = NowMs();
   this->is_listed = true;
-  this->store.Put("keyed.servers", this->options.id,
+  this->store.Put(kServersTopic, this->options.id,
                   Json{{"service", this->options.service},
                        {"address", this->server->Address()},
                        {"zone", "caxias"},
                        {"version", "v1"},
                        {"slots", 8},
                        {"state", "ready"},
-                       {"coldLeftMs", 0},
+                       {kColdLeft, 0},
                        {"capacity",
                         {{"cpu", this->options.cores_milli},
                          {"memMb", this->options.mem_mb},
@@ -736,7 +736,7 @@
   if (!this->is_up) {
     if (this->is_listed && NowMs() - this->went_down >= 3 * kBeatMs) {
       this->is_listed = false;
-      this->store.Put("keyed.servers", this->options.id, "");
+      this->store.Put(kServersTopic, this->options.id, "");
     }
     return;
   }
@@ -794,7 +794,7 @@
   if (!body.is_object()) {
     return Answer{400, ""};
   }
-  if (request.path == "/shallotbank/run-start") {
+  if (request.path == kStartPath) {
     const auto delay = this->delays_start
                            ? this->delays_start(body.at("task"), body.at("run"))
                            : std::nullopt;
@@ -824,12 +824,12 @@
     });
     return std::nullopt;
   }
-  if (request.path == "/shallotbank/run-stop") {
+  if (request.path == kStopPath) {
     const auto answer = this->StopRun(body);
     return this->loses_answer && this->loses_answer() ? std::nullopt
                                                       : std::optional(answer);
   }
-  if (request.path == "/shallotbank/hold") {
+  if (request.path == kHoldPath) {
     return this->Hold(body);
   }
   return Answer{404, ""};
@@ -911,7 +911,7 @@
         std::min<std::int64_t>(body.at("deadlineMs").get<std::int64_t>(),
                                this->ClockMs() + this->options.max_hold_ms));
   }
-  const auto acknowledged = body.value("ackCursor", std::uint64_t{0});
+  const auto acknowledged = body.value(kAcknowledged, std::uint64_t{0});
   std::erase_if(this->ended, [&](const End& end) {
     if (end.number > acknowledged) {
       return false;
@@ -1200,10 +1200,10 @@
   for (const auto& queue : queues) {
     routes.push_back({{"name", queue.name},
                       {"host", kHost},
-                      {"pathPrefix", queue.prefix},
+                      {kRoutePrefix, queue.prefix},
                       {"kind", "unsafe"},
                       {"timeoutMs", 3000},
-                      {"targetLatencyMs", queue.target_latency_ms},
+                      {kRouteTarget, queue.target_latency_ms},
                       {"priority", queue.priority},
                       {"service", kService},
                       {"attempts", queue.attempts},
@@ -1214,10 +1214,10 @@
   for (const auto& tenant : tenants) {
     rows.push_back(
         {{"name", tenant.name},
-         {"apiKeys", {tenant.key}},
+         {kTenantKeys, {tenant.key}},
          {"priority", 1},
          {"weight", tenant.weight},
-         {"maxCount", {{"cpu", tenant.max_cpu}, {"memMb", 0}, {"gpu", 0}}}});
+         {kTenantLimit, {{"cpu", tenant.max_cpu}, {"memMb", 0}, {"gpu", 0}}}});
   }
   const auto config = Json{
       {"version", version},
@@ -1237,7 +1237,7 @@
         {"idleTimeoutMs", 15000}}},
       {"tenants", rows}}.dump();
   Record::Add("operator: config " + config);
-  store.Put("keyed.op", "config", config);
+  store.Put(kOperatorTopic, "config", config);
 }
 
 Installation::Installation(int minions,
--- a/review/stand-in-2/stand_in.h
+++ b/review/stand-in-2/stand_in.h
@@ -26,6 +26,8 @@
 
 using Json = nlohmann::json;
 
+#include "wire_names.inc"
+
 /// Milliseconds since the start of the case.
 auto NowMs() -> std::int64_t;
 auto SleepMs(std::int64_t time) -> void;
