--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 plays the case without its disruption.
+# TROUBLE=0 plays the case without its disruption. What was sent, answered and run
+# is written to record.txt in this folder.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case-6 ] || exit 2
-exec target/review-2/case-6 review/6
+exec target/review-2/case-6 review/6/record.txt
--- a/review/stand-in-2/stand_in.cc
+++ b/review/stand-in-2/stand_in.cc
@@ -1286,7 +1286,7 @@
 
 auto Begin(int argc, char** argv) -> void {
   if (argc < 2) {
-    std::cerr << "usage: CASE FOLDER\n";
+    std::cerr << "usage: CASE RECORD-FILE\n";
     std::_Exit(kCouldNotRun);
   }
   ::signal(SIGPIPE, SIG_IGN);
@@ -1294,7 +1294,7 @@
     std::cerr << "no " << kDaemonProgram << "\n";
     std::_Exit(kCouldNotRun);
   }
-  Record::Open(std::string(argv[1]) + "/record.txt");
+  Record::Open(argv[1]);
   Record::Add(HasTrouble() ? "with the disruption"
                            : "without the disruption (TROUBLE=0)");
   std::thread([] {
--- a/review/stand-in-2/stand_in.h
+++ b/review/stand-in-2/stand_in.h
@@ -359,7 +359,7 @@
 auto JobId(int number) -> std::string;
 /// Whether the case is played with its disruption.
 auto HasTrouble() -> bool;
-/// Opens the record in the folder given as first argument and ends the process
+/// Opens the record whose path is the first argument and ends the process
 /// with 2 if the case takes too long.
 auto Begin(int argc, char** argv) -> void;
 /// Writes the result and returns the exit code.
