Place the tasks of a large step in short passes

After one accepted job of 10,000 tasks with a limit per worker no task of any job started and most calls got no answer. Each leader in turn stayed in its first placement pass until others had claimed its office, 1.5 s later, and what it had placed was lost with it.

For each task the pass compared all workers, and with the limit it counted the tasks on each of them by going through all tasks of the step: tasks x workers x tasks in one call of Decide, on the thread that renews the claim.

The tasks of a step on each worker are counted as they are assigned. Tasks without a history are alike, so the workers are ranked once for a step and each is filled before the next, which places them as before. A pass places at most 500 tasks and visits no task before the first one that waits.

--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -185,9 +185,9 @@
 
 auto Scheduler::Core::HoldWorkerFor(LiveTask& suspect,
                                     const std::vector<LiveWorker*>& workers,
-                                    TimePoint now) -> void {
+                                    TimePoint now) -> bool {
   if (now < suspect.hold_until) {
-    return;
+    return true;
   }
   const auto held = static_cast<std::size_t>(std::count_if(
       this->workers.begin(), this->workers.end(),
@@ -203,11 +203,12 @@
     }
   }
   if (best == nullptr || held >= this->workers.size() / kWorkersPerHold + 1) {
-    return;
+    return false;
   }
   // Long enough for the runs there to be proven and the next passes.
   best->held_until = now + kProofTime + kProofTime / 2;
   suspect.hold_until = best->held_until;
+  return true;
 }
 
 }  // namespace shallotbank::cell
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -127,6 +127,7 @@
     for (std::size_t index = 0; index < step.spec->task_count; index++) {
       auto& task = step.tasks.emplace_back();
       task.step = &step;
+      task.index = index;
       task.name = TaskName(job.spec.id, number, i, index);
     }
   }
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -34,6 +34,7 @@
 
 struct LiveTask {
   LiveStep* step = nullptr;
+  std::size_t index = 0;  ///< Within the step.
   TaskId name;
   TaskProgress persistent;
   RunStage stage = RunStage::kNone;
@@ -68,6 +69,14 @@
   }
   /// Whether the task may crash its worker right after the start.
   auto IsSuspect() const -> bool { return this->CrashScore() > 0; }
+  auto IsWaiting() const -> bool {
+    return this->stage == RunStage::kNone &&
+           this->persistent.phase == TaskPhase::kWaiting;
+  }
+  /// Whether the workers are not all alike for it, apart from their capacity.
+  auto HasHistory() const -> bool {
+    return this->IsSuspect() || !this->failed_workers.empty();
+  }
   /// Whether the run is assigned and its worker has not confirmed it.
   auto IsNotBegun() const -> bool {
     return this->stage == RunStage::kStoring ||
@@ -120,6 +129,11 @@
   std::deque<LiveTask> tasks;
   std::size_t unfinished = 0;
   std::size_t waiting = 0;  ///< Tasks that are not placed.
+  /// No task before this index waits.
+  std::size_t first_waiting = 0;
+  std::size_t assigned = 0;  ///< Tasks that may be on a worker.
+  /// Their number on each worker, if the step limits it.
+  std::unordered_map<WorkerId, std::size_t> assigned_on;
   bool is_ready = false;    ///< All steps that it depends on are done.
   int last_failed_run = 0;  ///< Latest gang run whose failure was counted.
   TimePoint wait_logged_at;
@@ -133,15 +147,6 @@
   std::string name;
 
   auto IsWaiting() const -> bool { return this->is_ready && this->waiting > 0; }
-
-  auto HasNoRuns() const -> bool {
-    for (const auto& task : this->tasks) {
-      if (task.stage != RunStage::kNone) {
-        return false;
-      }
-    }
-    return true;
-  }
 };
 
 struct LiveOccurrence {
--- a/libs/cell/src/placing.cc
+++ b/libs/cell/src/placing.cc
@@ -29,6 +29,9 @@
 /// Added to the interval for each waiting step: a pass takes some microseconds
 /// of a full core per step, and a host has a quarter of a core.
 constexpr std::chrono::microseconds kIntervalPerWaitingStep{40};
+/// Tasks that one pass places. Callers decide how many wait, and the leader
+/// renews its claim and answers them only between passes.
+constexpr std::size_t kMaxPlacements = 500;
 /// A pass ends after this many steps found neither free capacity nor a ticket;
 /// the remaining steps are less urgent and would not do better.
 constexpr std::size_t kMaxBlockedSteps = 100;
@@ -151,22 +154,14 @@
          std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-auto Scheduler::Core::CountTasksOn(const LiveStep& step,
-                                   const LiveWorker& worker) const
-    -> std::size_t {
-  return static_cast<std::size_t>(std::count_if(
-      step.tasks.begin(), step.tasks.end(), [&worker](const LiveTask& task) {
-        return task.stage != RunStage::kNone &&
-               task.persistent.worker.id == worker.report.id;
-      }));
-}
-
 auto Scheduler::Core::CountSlots(const LiveStep& step,
                                  const LiveWorker& worker,
                                  Resources available) const -> std::size_t {
   auto slots = CountFits(step.spec->demand, available);
   if (step.spec->max_per_worker > 0) {
-    const auto taken = this->CountTasksOn(step, worker);
+    const auto assigned = step.assigned_on.find(worker.report.id);
+    const auto taken =
+        assigned == step.assigned_on.end() ? 0 : assigned->second;
     const auto most = step.spec->max_per_worker;
     slots = std::min(slots, most > taken ? most - taken : 0);
   }
@@ -221,18 +216,94 @@
   return found;
 }
 
+auto Scheduler::Core::RankFor(const RankedStep& ranked,
+                              const LiveTask& task,
+                              const LiveWorker& worker) -> WorkerRank {
+  const auto& spec = *ranked.step->spec;
+  const bool has_failed =
+      std::find(task.failed_workers.begin(), task.failed_workers.end(),
+                worker.report.id) != task.failed_workers.end();
+  const bool is_off_data_rack =
+      !spec.data_rack.IsEmpty() && spec.data_rack != worker.report.rack;
+  // A suspect takes as few other runs with it as possible.
+  return {task.IsSuspect() ? worker.tasks.size() : 0, has_failed,
+          is_off_data_rack, !IsPreferredPace(*ranked.queue, worker),
+          worker.FreeResources().cores_milli - spec.demand.cores_milli};
+}
+
+auto Scheduler::Core::MayTake(const LiveWorker& worker,
+                              const LiveTask& task,
+                              TimePoint now) const -> bool {
+  return MayStartBeside(worker, task.IsSuspect(), now) &&
+         this->CountSlots(*task.step, worker,
+                          this->UnreservedResources(worker)) > 0;
+}
+
+auto Scheduler::Core::BestWorkerFor(const RankedStep& ranked,
+                                    const LiveTask& task,
+                                    const std::vector<LiveWorker*>& workers,
+                                    TimePoint now) const -> LiveWorker* {
+  LiveWorker* best = nullptr;
+  WorkerRank best_rank;
+  for (auto* worker : workers) {
+    if (!this->MayTake(*worker, task, now)) {
+      continue;
+    }
+    const auto rank = RankFor(ranked, task, *worker);
+    if (best == nullptr || rank < best_rank) {
+      best = worker;
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+auto Scheduler::Core::NextWorkerFor(const RankedStep& ranked,
+                                    const LiveTask& task,
+                                    const std::vector<LiveWorker*>& workers,
+                                    std::optional<WorkerHeap>& heap,
+                                    TimePoint now) const -> LiveWorker* {
+  const auto is_worse = [](const auto& a, const auto& b) {
+    return a.first > b.first;
+  };
+  if (!heap) {
+    heap.emplace();
+    for (std::size_t i = 0; i < workers.size(); i++) {
+      if (this->MayTake(*workers[i], task, now)) {
+        heap->push_back({{RankFor(ranked, task, *workers[i]), i}, workers[i]});
+      }
+    }
+    std::make_heap(heap->begin(), heap->end(), is_worse);
+  }
+  // The best worker stays the best one while it is filled.
+  while (!heap->empty() && !this->MayTake(*heap->front().second, task, now)) {
+    std::pop_heap(heap->begin(), heap->end(), is_worse);
+    heap->pop_back();
+  }
+  return heap->empty() ? nullptr : heap->front().second;
+}
+
 auto Scheduler::Core::PlaceSingles(const RankedStep& ranked,
                                    const std::vector<LiveWorker*>& workers,
                                    TimePoint now) -> WaitReason {
   auto& step = *ranked.step;
-  const auto& demand = step.spec->demand;
+  const auto blocked =
+      workers.empty() ? WaitReason::kNoAdvice : WaitReason::kNoRoom;
+  std::optional<WorkerHeap> heap;
   bool is_suspect_blocked = false;
-  for (auto& task : step.tasks) {
-    if (task.stage != RunStage::kNone ||
-        task.persistent.phase != TaskPhase::kWaiting) {
+  // No worker suits a suspect that did not suit the one before it.
+  bool may_place_suspect = true;
+  bool may_hold_worker = true;
+  for (auto i = step.first_waiting; i < step.tasks.size(); i++) {
+    auto& task = step.tasks[i];
+    if (!task.IsWaiting()) {
+      step.first_waiting += i == step.first_waiting ? 1 : 0;
       continue;
     }
-    if (!this->FitsLimit(*step.job, demand)) {
+    if (this->placements_left == 0) {
+      return WaitReason::kNone;  // The next pass continues.
+    }
+    if (!this->FitsLimit(*step.job, step.spec->demand)) {
       return WaitReason::kLimit;
     }
     if (this->AwaitsSettledLeader(task, now)) {
@@ -240,51 +311,32 @@
       continue;
     }
     LiveWorker* best = nullptr;
-    // A suspect takes as few other runs with it as possible.
-    auto best_rank = std::tuple<std::size_t, bool, bool, bool, std::int64_t>();
-    for (auto* worker : workers) {
-      if (!MayStartBeside(*worker, task.IsSuspect(), now) ||
-          this->CountSlots(step, *worker, this->UnreservedResources(*worker)) ==
-              0) {
-        continue;
-      }
-      const bool has_failed =
-          std::find(task.failed_workers.begin(), task.failed_workers.end(),
-                    worker->report.id) != task.failed_workers.end();
-      const bool is_off_data_rack = !step.spec->data_rack.IsEmpty() &&
-                                    step.spec->data_rack != worker->report.rack;
-      const auto remaining =
-          worker->FreeResources().cores_milli - demand.cores_milli;
-      const auto rank =
-          std::tuple(task.IsSuspect() ? worker->tasks.size() : 0, has_failed,
-                     is_off_data_rack, !IsPreferredPace(*ranked.queue, *worker),
-                     remaining);
-      if (best == nullptr || rank < best_rank) {
-        best = worker;
-        best_rank = rank;
-      }
+    if (!task.HasHistory()) {
+      best = this->NextWorkerFor(ranked, task, workers, heap, now);
+    } else if (!task.IsSuspect() || may_place_suspect) {
+      best = this->BestWorkerFor(ranked, task, workers, now);
     }
-    if (best == nullptr && task.IsSuspect()) {
-      this->HoldWorkerFor(task, workers, now);
-      is_suspect_blocked = true;
-      continue;
+    if (best == nullptr && !task.IsSuspect()) {
+      return blocked;
     }
     if (best == nullptr) {
-      return workers.empty() ? WaitReason::kNoAdvice : WaitReason::kNoRoom;
+      may_place_suspect = false;
+      may_hold_worker =
+          may_hold_worker && this->HoldWorkerFor(task, workers, now);
+      is_suspect_blocked = true;
+      continue;
     }
     this->Assign(task, *best, now);
+    this->placements_left--;
   }
-  if (is_suspect_blocked) {
-    return workers.empty() ? WaitReason::kNoAdvice : WaitReason::kNoRoom;
-  }
-  return WaitReason::kNone;
+  return is_suspect_blocked ? blocked : WaitReason::kNone;
 }
 
 auto Scheduler::Core::PlaceGang(const RankedStep& ranked,
                                 std::vector<LiveWorker*> workers,
                                 TimePoint now) -> WaitReason {
   auto& step = *ranked.step;
-  if (!step.HasNoRuns()) {
+  if (step.assigned > 0) {
     return WaitReason::kFormerRun;
   }
   if (std::any_of(step.tasks.begin(), step.tasks.end(),
@@ -358,6 +410,7 @@
     member->persistent.run = run;
     this->Assign(*member, *worker, now);
   }
+  this->placements_left -= std::min(this->placements_left, chosen.size());
   return WaitReason::kNone;
 }
 
@@ -557,7 +610,12 @@
       std::max(kMinReservations, this->workers.size() / kWorkersPerReservation);
   std::size_t reserved_gangs = 0;
   std::size_t blocked = 0;
+  this->placements_left = kMaxPlacements;
   for (const auto& ranked_step : ranked) {
+    if (this->placements_left == 0) {
+      this->needs_placement = true;
+      break;
+    }
     auto& step = *ranked_step.step;
     const bool is_attempt = now >= step.next_attempt;
     if (is_attempt) {
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -49,7 +49,12 @@
 
 auto Scheduler::Core::AddUsage(const LiveTask& task, LiveWorker& worker)
     -> void {
-  const auto& demand = task.step->spec->demand;
+  auto& step = *task.step;
+  const auto& demand = step.spec->demand;
+  step.assigned++;
+  if (step.spec->max_per_worker > 0) {
+    step.assigned_on[worker.report.id]++;
+  }
   worker.used += demand;
   this->free_cores.Update(worker);
   this->organisation_usage[task.step->job->spec.organisation].used += demand;
@@ -57,7 +62,13 @@
 
 auto Scheduler::Core::RemoveUsage(const LiveTask& task, LiveWorker& worker)
     -> void {
-  const auto& demand = task.step->spec->demand;
+  auto& step = *task.step;
+  const auto& demand = step.spec->demand;
+  step.assigned--;
+  const auto on_worker = step.assigned_on.find(worker.report.id);
+  if (on_worker != step.assigned_on.end() && --on_worker->second == 0) {
+    step.assigned_on.erase(on_worker);
+  }
   worker.used -= demand;
   this->free_cores.Update(worker);
   this->organisation_usage[task.step->job->spec.organisation].used -= demand;
@@ -134,9 +145,11 @@
 }
 
 auto Scheduler::Core::ReturnToWaiting(LiveTask& task) -> void {
+  auto& step = *task.step;
   task.persistent.phase = TaskPhase::kWaiting;
-  task.step->waiting++;
-  this->waiting_jobs.insert(task.step->job);
+  step.waiting++;
+  step.first_waiting = std::min(step.first_waiting, task.index);
+  this->waiting_jobs.insert(step.job);
 }
 
 auto Scheduler::Core::MarkDone(LiveTask& task) -> void {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
@@ -215,9 +217,10 @@
                              bool is_suspect,
                              TimePoint now) -> bool;
   /// Keeps the best of these workers free for a suspect that found none.
+  /// Returns whether one is kept.
   auto HoldWorkerFor(LiveTask& suspect,
                      const std::vector<LiveWorker*>& workers,
-                     TimePoint now) -> void;
+                     TimePoint now) -> bool;
 
   // Defined in workers.cc.
   auto GetOrAddWorker(const WorkerId& id) -> LiveWorker&;
@@ -267,6 +270,31 @@
                                 std::map<LiveWorker*, std::size_t> slots,
                                 TimePoint now)
       -> std::vector<std::pair<LiveTask*, LiveWorker*>>;
+  /// A lower one is better: whether and how many other runs it may take with
+  /// it, whether the task failed there, is far from its data, prefers another
+  /// pace, and the free cores that remain.
+  using WorkerRank = std::tuple<std::size_t, bool, bool, bool, std::int64_t>;
+  /// The best one is on top; equal ones in the order of the candidates.
+  using WorkerHeap =
+      std::vector<std::pair<std::pair<WorkerRank, std::size_t>, LiveWorker*>>;
+  static auto RankFor(const RankedStep& ranked,
+                      const LiveTask& task,
+                      const LiveWorker& worker) -> WorkerRank;
+  auto MayTake(const LiveWorker& worker,
+               const LiveTask& task,
+               TimePoint now) const -> bool;
+  /// Returns null if no worker may take the task.
+  auto BestWorkerFor(const RankedStep& ranked,
+                     const LiveTask& task,
+                     const std::vector<LiveWorker*>& workers,
+                     TimePoint now) const -> LiveWorker*;
+  /// The same for a task without a history. The heap is built for the first of
+  /// them and serves the others of its step.
+  auto NextWorkerFor(const RankedStep& ranked,
+                     const LiveTask& task,
+                     const std::vector<LiveWorker*>& workers,
+                     std::optional<WorkerHeap>& heap,
+                     TimePoint now) const -> LiveWorker*;
   auto PlaceSingles(const RankedStep& ranked,
                     const std::vector<LiveWorker*>& workers,
                     TimePoint now) -> WaitReason;
@@ -298,8 +326,6 @@
   auto PlanReservation(const RankedStep& ranked, TimePoint now)
       -> GangReservation;
   auto ApplyReservation(const GangReservation& plan) -> void;
-  auto CountTasksOn(const LiveStep& step, const LiveWorker& worker) const
-      -> std::size_t;
 
   // Defined in advice.cc.
   auto QueryAdvice(const RankedStep& ranked,
@@ -366,6 +392,7 @@
   std::vector<JobId> ended_jobs;
   std::unordered_map<const LiveWorker*, Resources> reserved;
   bool needs_placement = true;
+  std::size_t placements_left = 0;  ///< In the current pass.
   TimePoint last_placement_at;
   TimePoint paces_classified_at;
   TimePoint leases_checked_at;
