Handle the ends and losses of many runs in linear time

Found beside the placement of large steps: other calls of the core that grow with the square of a number that callers choose. Each end or loss of a run counted the suspects among all runs of its worker, each end of a gang was applied to all members, each loss stopped all of them again, and each late completion was searched for among all tasks of its job.

Suspects are counted up and down. A gang is stopped, completed and given its checkpoint once for each run. The name of a task tells its position.

--- a/libs/cell/include/cell/job.h
+++ b/libs/cell/include/cell/job.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -123,4 +124,16 @@
               std::size_t step,
               std::size_t index) -> TaskId;
 
+/// Where a task is within its job.
+struct TaskPosition {
+  std::size_t occurrence = 0;
+  std::size_t step = 0;
+  std::size_t index = 0;
+
+  auto operator==(const TaskPosition&) const -> bool = default;
+};
+
+/// Returns nothing if the ID is not of the form that `TaskName` makes.
+auto ParseTaskName(const TaskId& name) -> std::optional<TaskPosition>;
+
 }  // namespace shallotbank::cell
--- a/libs/cell/src/advice.cc
+++ b/libs/cell/src/advice.cc
@@ -241,12 +241,8 @@
   if (job == this->jobs.end()) {
     return;
   }
-  const auto occurrence = std::find_if(
-      job->second->occurrences.begin(), job->second->occurrences.end(),
-      [&pending_query](const auto& candidate) {
-        return candidate.number == pending_query.occurrence;
-      });
-  if (occurrence == job->second->occurrences.end()) {
+  auto* occurrence = job->second->FindOccurrence(pending_query.occurrence);
+  if (occurrence == nullptr) {
     return;
   }
   auto& step = occurrence->steps[pending_query.step];
--- a/libs/cell/src/crashes.cc
+++ b/libs/cell/src/crashes.cc
@@ -142,9 +142,9 @@
 
 auto Scheduler::Core::ClearSuspicion(LiveTask& task, LiveWorker& worker)
     -> void {
+  worker.suspects -= task.IsSuspect() ? 1 : 0;
   task.persistent.crashes = 0;
   task.persistent.possible_crashes = 0;
-  worker.CountSuspects();
   // The next leader would count on.
   this->MarkDirty(*task.step->job);
 }
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -156,7 +156,7 @@
       }
       auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
       worker.tasks.emplace(task.name, &task);
-      worker.CountSuspects();
+      worker.suspects += task.IsSuspect() ? 1 : 0;
       this->AddUsage(task, worker);
       job.placed_tasks++;
       this->unanswered_starts.Add(task.persistent.worker,
@@ -205,11 +205,18 @@
            job->next_occurrence >= job->spec.occurrence_count;
   });
   for (auto* job : this->recurring_jobs) {
-    while (job->next_occurrence < job->spec.occurrence_count &&
-           wall >= job->spec.first_due +
-                       job->spec.interval * job->next_occurrence &&
-           job->CountStoredTasks() < kMaxTasksBeforeOccurrence) {
-      this->UpdateReady(this->BeginOccurrence(*job, job->next_occurrence));
+    const auto is_due = [job, wall] {
+      return job->next_occurrence < job->spec.occurrence_count &&
+             wall >= job->spec.first_due +
+                         job->spec.interval * job->next_occurrence;
+    };
+    auto stored_tasks = is_due() ? job->CountStoredTasks() : 0;
+    while (is_due() && stored_tasks < kMaxTasksBeforeOccurrence) {
+      auto& occurrence = this->BeginOccurrence(*job, job->next_occurrence);
+      this->UpdateReady(occurrence);
+      for (const auto& step : occurrence.steps) {
+        stored_tasks += step.tasks.size();
+      }
       job->next_occurrence++;
       this->MarkDirty(*job);
       this->needs_placement = true;
@@ -219,11 +226,7 @@
 
 auto Scheduler::Core::OnStepDone(LiveStep& step) -> void {
   auto& job = *step.job;
-  const auto occurrence =
-      std::find_if(job.occurrences.begin(), job.occurrences.end(),
-                   [&step](const auto& candidate) {
-                     return candidate.number == step.occurrence;
-                   });
+  auto* occurrence = job.FindOccurrence(step.occurrence);
   occurrence->unfinished_steps--;
   this->UpdateReady(*occurrence);
   this->needs_placement = true;
--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -136,6 +137,8 @@
   std::unordered_map<WorkerId, std::size_t> assigned_on;
   bool is_ready = false;    ///< All steps that it depends on are done.
   int last_failed_run = 0;  ///< Latest gang run whose failure was counted.
+  int abandoned_run = 0;    ///< Latest gang run that was stopped.
+  int checkpoint_run = 0;   ///< Latest gang run that left a checkpoint.
   TimePoint wait_logged_at;
   /// Earliest time of the next placement after a refusal.
   TimePoint not_before;
@@ -164,7 +167,7 @@
 struct LiveJob {
   JobSpec spec;
   JobState state = JobState::kQueued;
-  std::deque<LiveOccurrence> occurrences;
+  std::deque<LiveOccurrence> occurrences;  ///< By number.
   std::size_t next_occurrence = 0;
   TimePoint accepted_at;
   /// Estimated time of the critical path through the steps.
@@ -180,6 +183,18 @@
   auto IsOver(const LiveOccurrence& occurrence) const -> bool {
     return occurrence.unfinished_steps == 0 && this->spec.occurrence_count > 0;
   }
+  /// Returns the occurrence of that number, or null if it has not begun or is
+  /// forgotten.
+  auto FindOccurrence(std::size_t number) -> LiveOccurrence* {
+    const auto found = std::lower_bound(
+        this->occurrences.begin(), this->occurrences.end(), number,
+        [](const LiveOccurrence& occurrence, std::size_t wanted) {
+          return occurrence.number < wanted;
+        });
+    return found != this->occurrences.end() && found->number == number
+               ? &*found
+               : nullptr;
+  }
   /// Number of tasks in the occurrences that are stored.
   auto CountStoredTasks() const -> std::size_t {
     std::size_t count = 0;
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -136,7 +136,7 @@
   auto& worker = this->GetOrAddWorker(task.persistent.worker.id);
   auto& job = *task.step->job;
   worker.tasks.erase(task.name);
-  worker.CountSuspects();
+  worker.suspects -= task.IsSuspect() ? 1 : 0;
   this->RemoveUsage(task, worker);
   job.placed_tasks--;
   task.stage = RunStage::kNone;
@@ -189,6 +189,23 @@
   }
 }
 
+auto Scheduler::Core::SaveCheckpoint(LiveTask& task,
+                                     const std::string& checkpoint) -> void {
+  auto& step = *task.step;
+  if (!step.spec->is_gang) {
+    task.persistent.checkpoint = checkpoint;
+    return;
+  }
+  // That of any member is valid for all, so that of the first one is used.
+  if (step.checkpoint_run == task.persistent.run) {
+    return;
+  }
+  step.checkpoint_run = task.persistent.run;
+  for (auto& member : step.tasks) {
+    member.persistent.checkpoint = checkpoint;
+  }
+}
+
 auto Scheduler::Core::OnRunEnded(LiveTask& task,
                                  EndKind how,
                                  const std::string& checkpoint,
@@ -201,12 +218,12 @@
   if (how == EndKind::kDone && !step.spec->is_long_running) {
     worker.failed_jobs.clear();
     worker.quarantine_duration = Duration::zero();
-    if (step.spec->is_gang) {
+    if (!step.spec->is_gang) {
+      this->MarkDone(task);
+    } else if (task.persistent.phase != TaskPhase::kDone) {
       for (auto& member : step.tasks) {
         this->MarkDone(member);
       }
-    } else {
-      this->MarkDone(task);
     }
     return;
   }
@@ -215,13 +232,7 @@
   }
   this->ReturnToWaiting(task);
   if (!checkpoint.empty()) {
-    if (step.spec->is_gang) {
-      for (auto& member : step.tasks) {
-        member.persistent.checkpoint = checkpoint;
-      }
-    } else {
-      task.persistent.checkpoint = checkpoint;
-    }
+    this->SaveCheckpoint(task, checkpoint);
   }
   static constexpr const char* kNames[] = {"done",   "failed", "stopped",
                                            "lapsed", "broken", "alone"};
@@ -230,7 +241,7 @@
                                    {"worker", worker.report.id.Text()},
                                    {"how", kNames[static_cast<int>(how)]}});
   if (step.spec->is_gang) {
-    this->AbandonGang(step);
+    this->AbandonGang(step, task.persistent.run);
   }
   if (how == EndKind::kFailed) {
     task.failed_workers.push_back(worker.report.id);
@@ -245,19 +256,16 @@
   if (found == this->jobs.end()) {
     return nullptr;
   }
-  for (auto& occurrence : found->second->occurrences) {
-    for (auto& step : occurrence.steps) {
-      if (!text.starts_with(step.name + '.')) {
-        continue;
-      }
-      for (auto& task : step.tasks) {
-        if (task.name == name) {
-          return &task;
-        }
-      }
-    }
+  const auto position = ParseTaskName(name);
+  if (!position) {
+    return nullptr;
   }
-  return nullptr;
+  auto* occurrence = found->second->FindOccurrence(position->occurrence);
+  if (occurrence == nullptr || position->step >= occurrence->steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = occurrence->steps[position->step].tasks;
+  return position->index < tasks.size() ? &tasks[position->index] : nullptr;
 }
 
 auto Scheduler::Core::OnLateCompletion(const TaskId& name, int run) -> void {
@@ -294,7 +302,7 @@
   }
   this->ReturnToWaiting(task);
   if (step.spec->is_gang) {
-    this->AbandonGang(step);
+    this->AbandonGang(step, task.persistent.run);
   }
 }
 
@@ -315,7 +323,11 @@
   }
 }
 
-auto Scheduler::Core::AbandonGang(LiveStep& step) -> void {
+auto Scheduler::Core::AbandonGang(LiveStep& step, int run) -> void {
+  if (step.abandoned_run == run) {
+    return;  // All members are being stopped.
+  }
+  step.abandoned_run = run;
   for (auto& member : step.tasks) {
     this->AbandonRun(member);
   }
@@ -374,7 +386,7 @@
       }  // Otherwise resent at once with a later lease.
       if (step.spec->is_gang &&
           now - task->first_start_sent_at >= kGangStartTimeout) {
-        this->AbandonGang(step);
+        this->AbandonGang(step, task->persistent.run);
       }
       return;
     case OrderOutcome::kNoTicket:
@@ -400,7 +412,7 @@
     this->RequestStop(*task);
     task->next_send = now;
     if (step.spec->is_gang) {
-      this->AbandonGang(step);
+      this->AbandonGang(step, task->persistent.run);
     }
     return;
   }
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -160,7 +160,9 @@
   auto ReturnToWaiting(LiveTask& task) -> void;
   auto CountFailure(LiveTask& task) -> void;
   auto AbandonRun(LiveTask& task) -> void;
-  auto AbandonGang(LiveStep& step) -> void;
+  /// Stops that run of all members.
+  auto AbandonGang(LiveStep& step, int run) -> void;
+  auto SaveCheckpoint(LiveTask& task, const std::string& checkpoint) -> void;
   auto RequestStop(LiveTask& task) -> void;
   auto TargetOf(const LiveWorker& worker) const -> OrderTarget;
   /// Stops what a later incarnation of a worker may start by an order that an
