Forget the occurrences of a recurring job that are over

Each placement pass visited all occurrences of a recurring job that had ever begun, and all of them stayed in the leader's memory until the job's end.

An occurrence is removed from memory once it is done, no worker has a run of it and its segments are removed from the store.

--- a/libs/cell/src/batches.cc
+++ b/libs/cell/src/batches.cc
@@ -191,6 +191,7 @@
         }
       }
     }
+    ForgetOccurrences(*found->second);
   }
   for (const auto& [incarnation, number] : pending.mapped().completions) {
     const auto found = this->workers.find(incarnation.id);
--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -224,6 +224,14 @@
   }
 }
 
+auto Scheduler::Core::ForgetOccurrences(LiveJob& job) -> void {
+  std::erase_if(job.occurrences, [&job](const LiveOccurrence& occurrence) {
+    return job.IsOver(occurrence) && occurrence.stored_segments.empty() &&
+           std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [](const auto& step) { return step.assigned == 0; });
+  });
+}
+
 auto Scheduler::Core::OnStepDone(LiveStep& step) -> void {
   auto& job = *step.job;
   auto* occurrence = job.FindOccurrence(step.occurrence);
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -132,6 +132,8 @@
   auto BeginDueOccurrences(std::chrono::system_clock::time_point wall) -> void;
   auto UpdateReady(LiveOccurrence& occurrence) -> void;
   auto OnStepDone(LiveStep& step) -> void;
+  /// Removes the occurrences that are over from memory.
+  static auto ForgetOccurrences(LiveJob& job) -> void;
   auto FinishJob(LiveJob& job, JobState state, const std::string& reason)
       -> void;
   auto MarkDirty(LiveJob& job) -> void;
--- a/libs/cell/tests/pass_cost_test.cc
+++ b/libs/cell/tests/pass_cost_test.cc
@@ -184,5 +184,48 @@
   }
 }
 
+// The occurrences of a recurring job stayed in memory, and each pass visited
+// all of them.
+BOOST_AUTO_TEST_CASE(occurrences_that_are_over_cost_nothing) {
+  constexpr std::size_t kOccurrences = 30'000;
+  constexpr int kPasses = 100;
+  SchedulerFixture cell;
+  cell.AddWorker("w0", 1'000'000);
+  auto job = cell.Job("5c0e7a2100000001", 1, 40);
+  job.occurrence_count = kOccurrences + 1;
+  job.interval = milliseconds(1);
+  cell.scheduler.OnJob(job, {}, cell.clock.Now());
+  const auto decide = [&cell](milliseconds wall) {
+    cell.clock.Advance(milliseconds(30));
+    auto decisions = cell.scheduler.Decide(
+        cell.clock.Now(), std::chrono::system_clock::time_point(wall),
+        cell.authority);
+    if (decisions.batch) {
+      cell.scheduler.OnStored(decisions.batch->sequence, cell.clock.Now());
+    }
+    return decisions;
+  };
+  std::size_t done = 0;
+  for (int pass = 0; pass < 1000 && done < kOccurrences; pass++) {
+    std::vector<EndedTask> ended;
+    for (const auto& order : decide(milliseconds(kOccurrences - 1)).starts) {
+      cell.Answer(order, OrderOutcome::kDone);
+      ended.push_back(Ended(order, EndKind::kDone, ++done));
+    }
+    cell.AnswerPoll("w0", {}, std::move(ended));
+  }
+  BOOST_REQUIRE(done == kOccurrences);
+  cell.scheduler.OnWorkerGone(WorkerId("w0"), cell.clock.Now());
+  decide(milliseconds(kOccurrences));
+  BOOST_TEST(cell.scheduler.Count().waiting_tasks == 1U);
+  const auto took = ProcessorTime([&] {
+    for (int pass = 0; pass < kPasses; pass++) {
+      decide(milliseconds(kOccurrences));
+    }
+  });
+  BOOST_TEST_MESSAGE(took.count() << " ms");
+  BOOST_TEST(took < milliseconds(200));
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
