Keep a job that only the leader's updates name from being unknown

A host answers 410 for a job that it does not know once it has read both topics lately, unless it has progress of the job without its specification. An update from the leader with the end of the job removed that mark, though the end itself comes with a record that the host has yet to read, and an update did not set it either. Such a host would call an accepted job unknown.

A job that an update names is marked until its specification or the record of its end was read; until then a host asks the caller to come back (503).

--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -83,8 +83,8 @@
 
   /// Returns the job if it was accepted, otherwise null.
   auto Find(const JobId& id) const -> const StoredJob*;
-  /// Whether progress of the job was read, but neither its specification nor
-  /// its end.
+  /// Whether the job's progress was read or a change of its state received, but
+  /// neither its specification nor the record of its end was read.
   auto IsIncomplete(const JobId& id) const -> bool {
     return this->unknown_jobs.contains(id);
   }
@@ -119,7 +119,7 @@
 
   std::unordered_map<JobId, StoredJob> jobs;
   std::unordered_map<QueueName, std::size_t> waiting;
-  /// Jobs with progress that have not ended, without a specification.
+  /// Jobs that exist and are not accepted yet, see `IsIncomplete`.
   std::unordered_set<JobId> unknown_jobs;
   std::size_t invalid_records = 0;
 };
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -162,15 +162,15 @@
   }
   job.progress_offset = offset;
   job.progress_bytes = *value;
-  if (!job.is_accepted && !IsFinal(*state)) {
-    this->unknown_jobs.insert(id);
-  } else {
-    this->unknown_jobs.erase(id);
-  }
   this->SetState(job, *state, offset, now);
   if (IsFinal(*state) && !job.is_accepted) {
     AcceptEnded(job, *value, now);
   }
+  if (job.is_accepted || IsFinal(*state)) {
+    this->unknown_jobs.erase(id);
+  } else {
+    this->unknown_jobs.insert(id);
+  }
 }
 
 auto JobTable::OnSegmentRecord(const JobId& id,
@@ -208,8 +208,8 @@
   const JobId id(key);
   auto& job = this->jobs[id];
   const bool is_new = job.state_offset == 0 || job.state != state;
-  if (IsFinal(state)) {
-    this->unknown_jobs.erase(id);
+  if (!job.is_accepted) {
+    this->unknown_jobs.insert(id);
   }
   this->SetState(job, state, offset, now);
   return is_new;
--- a/libs/cell/tests/job_table_test.cc
+++ b/libs/cell/tests/job_table_test.cc
@@ -93,6 +93,49 @@
   }
 }
 
+struct IncompleteCase {
+  const char* name;
+  bool has_record;  ///< Of the job's progress, from before the update.
+  JobState update;
+  bool has_end;  ///< The record of the job's end is read in the end.
+  bool is_incomplete;
+};
+
+// A host that had the end of a job from the leader, but neither its
+// specification nor the record of its end from the store, took it for unknown.
+BOOST_AUTO_TEST_CASE(a_job_known_from_the_leader_only_is_not_unknown) {
+  const IncompleteCase cases[] = {
+      {"runs, by an update", false, JobState::kRunning, false, true},
+      {"ended, by an update", false, JobState::kCompleted, false, true},
+      {"runs by a record, ended by an update", true, JobState::kCompleted,
+       false, true},
+      {"ended, by an update and a record", true, JobState::kCompleted, true,
+       false},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      const ManualClock clock;
+      JobTable jobs;
+      if (test_case.has_record) {
+        jobs.OnProgressRecord("a", EncodeProgress({JobState::kRunning, {}, 0}),
+                              1, clock.Now());
+      }
+      jobs.OnStateUpdate("a", test_case.update, 2, clock.Now());
+      if (test_case.has_end) {
+        JobProgress end;
+        end.state = test_case.update;
+        end.queue = QueueName("q");
+        jobs.OnProgressRecord("a", EncodeProgress(end), 2, clock.Now());
+      }
+      BOOST_TEST(jobs.IsIncomplete(JobId("a")) == test_case.is_incomplete);
+      BOOST_TEST((jobs.Find(JobId("a")) != nullptr) == test_case.has_end);
+      jobs.OnJobRecord("a", RecordOf("a", kWallNow), clock.Now());
+      BOOST_TEST(!jobs.IsIncomplete(JobId("a")));
+      BOOST_TEST((jobs.Find(JobId("a"))->State() == test_case.update));
+    }
+  }
+}
+
 struct UpdateCase {
   const char* name;
   Offset update_offset;
