Answer requests that a drain finds read but not handled

A host that was being stopped closed a connection without an answer to a request that it had read. A drain closes connections that are idle for 250 ms. It looked at unread input and at accepted requests, but a request that Pistache had read and that was not accepted yet was in neither, and was dropped with the rest of the input.

The reading thread now holds a shared lock from before Pistache reads until what was read is handled. A connection is closed as idle, by a drain or by its keep-alive timeout, only by who holds the lock alone; the tick tries again if it is taken.

It is suspected, not shown, that this is the cause of the reports of a request without an answer under planned work.

--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -286,15 +286,18 @@
 
 auto Connection::CloseIfIdleLocked(TimePoint now) -> void {
   if (!this->pending.empty() || !this->output.IsEmpty() ||
-      this->phase != RequestReader::Phase::kIdle ||
-      this->HasUnreadInputLocked()) {
+      this->phase != RequestReader::Phase::kIdle) {
     return;
   }
   const auto idle = now - std::max(this->phase_since, this->last_progress);
-  if (idle > this->state->options.keep_alive_timeout) {
-    this->FinishLocked("keep_alive_timeout");
-  } else if (this->state->draining && idle > kDrainIdleTimeout) {
-    this->FinishLocked("drain");
+  const bool is_expired = idle > this->state->options.keep_alive_timeout;
+  if (!is_expired && (!this->state->draining || idle <= kDrainIdleTimeout)) {
+    return;
+  }
+  // A request that was read and is not handled yet must still be answered.
+  const std::unique_lock reading(this->state->reading, std::try_to_lock);
+  if (reading && !this->HasUnreadInputLocked()) {
+    this->FinishLocked(is_expired ? "keep_alive_timeout" : "drain");
   }
 }
 
--- a/libs/http/src/server.cc
+++ b/libs/http/src/server.cc
@@ -17,6 +17,7 @@
 #include "acceptor.h"
 #include "connection_handler.h"
 #include "connection_table.h"
+#include "reading_transport.h"
 #include "server_state.h"
 
 namespace shallotbank::http {
@@ -66,9 +67,8 @@
     this->reactor = Pistache::Aio::Reactor::create();
     this->reactor->init(Pistache::Aio::AsyncContext(
         static_cast<std::size_t>(options.threads), "http"));
-    const auto key =
-        this->reactor->addHandler(std::make_shared<Pistache::Tcp::Transport>(
-            std::make_shared<ConnectionHandler>(this->state, this->handler)));
+    const auto key = this->reactor->addHandler(
+        std::make_shared<ReadingTransport>(this->state, this->handler));
     this->transports = this->reactor->handlers(key);
     this->reactor->run();
     return this->acceptor.Listen(options.address, options.port);
--- a/libs/http/src/server_state.h
+++ b/libs/http/src/server_state.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <cstddef>
+#include <mutex>
+#include <shared_mutex>
 #include <string>
 #include <utility>
 
@@ -27,6 +29,9 @@
   std::atomic<bool> draining = false;
   std::atomic<std::size_t> open_peers = 0;  ///< Sockets that Pistache holds.
   std::mutex mutex;                         ///< Guards `options.metrics`.
+  /// Held shared from before input is read until it is handled. Whoever holds
+  /// it alone sees in the connections all that was read.
+  std::shared_mutex reading;
 };
 
 }  // namespace shallotbank::http
--- a/libs/http/tests/drain_test.cc
+++ b/libs/http/tests/drain_test.cc
@@ -110,6 +110,42 @@
   BOOST_TEST(!refused.Send(kRequest));
 }
 
+// Guards against the loss of a request that was read when the drain closed its
+// connection as idle.
+BOOST_AUTO_TEST_CASE(DrainAnswersARequestThatWasReadBefore) {
+  // Above the time after which a drain closes an idle connection.
+  constexpr Duration kHandlingTime = std::chrono::milliseconds(800);
+  std::atomic<bool> is_draining = false;
+  BoundedRing<int> answered(4);
+  Server server({}, [&](const Request& request, Responder responder) {
+    responder.Send({200, {}, request.path});
+    if (request.path == "/first") {
+      answered.TryPush(1);
+      while (!is_draining) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      std::this_thread::sleep_for(kHandlingTime);
+    }
+  });
+  BOOST_REQUIRE(server.Start());
+  auto socket = RawSocket::Connect(server.Port());
+  // Both are read at once; the second one is handled once the first is.
+  socket.Send(
+      "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_REQUIRE(answered.Pop(kWait).has_value());
+  BOOST_TEST(socket.ReadResponse().body == "/first");
+  auto left = std::async(std::launch::async, [&] {
+    is_draining = true;
+    return server.Drain(kWait);
+  });
+  const auto second = socket.ReadResponse();
+  BOOST_TEST(second.status == 200);
+  BOOST_TEST(second.body == "/second");
+  BOOST_TEST(left.get() == 0U);
+  BOOST_TEST(socket.IsClosedWithin(kWait));
+}
+
 // Guards against a drain that never ends, and a stop that waits for a handler
 // that never responds.
 BOOST_AUTO_TEST_CASE(DrainEndsAtItsDeadline) {
