Take no batch for stored that the store answered like the fence

A leader's fencing append and its first batch of progress carry the same sequence number. A store that counts the empty append answers the first batch with the answer to the fence and stores nothing. The leader took that for stored: it acknowledged the ends in the batch to the workers and, some seconds later, removed the specifications of jobs that had ended in it. The next leader found such a task missing on its worker and ran it again, and a host that started later knew neither the job nor its end.

An answer whose offsets do not cover the records of the batch now counts as a conflict of sequence numbers, and the batch is sent with the next one.

--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -69,6 +69,14 @@
   }
 }
 
+/// Whether the answer is that to an append of the whole batch. A store may give
+/// the answer to the fencing append to a batch with the same sequence number.
+auto CoversBatch(const adapter::AppendResult& result,
+                 const ProgressBatch& batch) -> bool {
+  return result.end - result.offset >=
+         batch.segments.size() + batch.records.size();
+}
+
 }  // namespace
 
 Leader::Leader(Runtime& runtime,
@@ -469,7 +477,12 @@
     -> void {
   using Outcome = adapter::AppendResult::Outcome;
   const auto found = this->pending_batches.find(number);
-  const auto result = adapter::ParseAppendReply(reply);
+  auto result = adapter::ParseAppendReply(reply);
+  if (result.outcome == Outcome::kStored &&
+      found != this->pending_batches.end() &&
+      !CoversBatch(result, found->second.batch)) {
+    result.outcome = Outcome::kSequenceMismatch;
+  }
   if (result.outcome == Outcome::kStored) {
     this->PublishProgress(number, result.offset);
     this->OnBatchStored(number);
