Log restarts of workers, and the incarnation that a worker attached with

worker-restarted (4005) names both incarnations, the fence from then on, what showed the restart, the time since the last answer and the runs without an answer. worker-attached has born and fence, task-lost the stage of a run that the leader gives up.

No decision is changed.

--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -41,6 +41,7 @@
   kWorkerAttached = 4002,
   kWorkerQuarantined = 4003,
   kWorkerPace = 4004,
+  kWorkerRestarted = 4005,
   kTaskLost = 4101,
   kJobFinished = 4102,
   kStartRefused = 4103,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -58,6 +58,7 @@
     EventEntry{Event::kWorkerAttached, Severity::kInfo, "worker-attached"},
     EventEntry{Event::kWorkerQuarantined, Severity::kWarning, "worker-quarantined"},
     EventEntry{Event::kWorkerPace, Severity::kInfo, "worker-pace"},
+    EventEntry{Event::kWorkerRestarted, Severity::kInfo, "worker-restarted"},
     EventEntry{Event::kTaskLost, Severity::kWarning, "task-lost"},
     EventEntry{Event::kJobFinished, Severity::kInfo, "job-finished"},
     EventEntry{Event::kStartRefused, Severity::kWarning, "start-refused"},
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -30,6 +30,22 @@
       std::chrono::floor<std::chrono::milliseconds>(time).count());
 }
 
+auto StageName(RunStage stage) -> const char* {
+  switch (stage) {
+    case RunStage::kNone:
+      return "none";
+    case RunStage::kStoring:
+      return "not-sent";
+    case RunStage::kStarting:
+      return "unanswered";
+    case RunStage::kRunning:
+      return "confirmed";
+    case RunStage::kUnknown:
+      return "previous-leader";
+  }
+  return "";
+}
+
 }  // namespace
 
 auto Scheduler::Core::FindTask(const WorkerId& worker,
@@ -294,7 +310,8 @@
   this->AddNote(Event::kTaskLost, {{"task", task.name.Text()},
                                    {"run", std::to_string(task.persistent.run)},
                                    {"worker", task.persistent.worker.id.Text()},
-                                   {"how", reason}});
+                                   {"how", reason},
+                                   {"stage", StageName(task.stage)}});
   this->Unassign(task);
   this->MarkDirty(*step.job);
   if (task.persistent.phase == TaskPhase::kDone) {
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -237,8 +237,11 @@
                      const PollReply& reply,
                      TimePoint sent,
                      TimePoint now) -> void;
-  auto OnNewIncarnation(LiveWorker& worker, std::int64_t born, TimePoint now)
-      -> void;
+  /// `source` names what showed the restart, for the log.
+  auto OnNewIncarnation(LiveWorker& worker,
+                        std::int64_t born,
+                        const char* source,
+                        TimePoint now) -> void;
   auto UpdateClock(LiveWorker& worker, Milliseconds clock, TimePoint now)
       -> void;
   auto ReleaseExpiredLeases(TimePoint now) -> void;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -43,6 +43,11 @@
 /// A worker without an answer for this time gets no new tasks.
 constexpr std::chrono::milliseconds kUnresponsiveAfter{3200};
 
+auto ToMilliseconds(Duration time) -> std::string {
+  return std::to_string(
+      std::chrono::floor<std::chrono::milliseconds>(time).count());
+}
+
 /// Whether the answer to a poll that was sent before the lease ended may wait
 /// in this process; it may list completions.
 auto IsAnswerDue(const LiveWorker& worker) -> bool {
@@ -95,7 +100,7 @@
   worker.report = report;
   this->free_cores.Update(worker);
   if (is_new_incarnation) {
-    this->OnNewIncarnation(worker, report.born_unix_ms, now);
+    this->OnNewIncarnation(worker, report.born_unix_ms, "entry", now);
   }
   worker.next_poll = std::min(worker.next_poll, now);
   this->needs_placement = true;
@@ -114,10 +119,25 @@
 
 auto Scheduler::Core::OnNewIncarnation(LiveWorker& worker,
                                        std::int64_t born,
+                                       const char* source,
                                        TimePoint now) -> void {
   this->OnWorkerCrashed(worker, now);
+  const auto fence = this->NextFence();
+  const auto unanswered = std::count_if(
+      worker.tasks.begin(), worker.tasks.end(), [](const auto& entry) {
+        return entry.second->stage == RunStage::kStarting;
+      });
+  this->AddNote(Event::kWorkerRestarted,
+                {{"worker", worker.report.id.Text()},
+                 {"born", std::to_string(born)},
+                 {"former_born", std::to_string(worker.born_unix_ms)},
+                 {"fence", std::to_string(fence)},
+                 {"source", source},
+                 {"silent_ms", ToMilliseconds(now - worker.clock_at)},
+                 {"assigned", std::to_string(worker.tasks.size())},
+                 {"unanswered", std::to_string(unanswered)}});
   worker.born_unix_ms = born;
-  worker.fence = this->NextFence();
+  worker.fence = fence;
   worker.is_attached = false;
   // Answers to orders with the former fence count for nothing.
   worker.is_poll_in_flight = false;
@@ -241,7 +261,7 @@
     }
     // The order was meant for the earlier incarnation. Until one with the next
     // fence is answered, others of its kind may be executed.
-    this->OnNewIncarnation(worker, born, now);
+    this->OnNewIncarnation(worker, born, "poll", now);
     return;
   }
   worker.born_unix_ms = born;
@@ -263,6 +283,8 @@
                                 reply.worker_clock + this->options.max_lease);
     this->AddNote(Event::kWorkerAttached,
                   {{"worker", worker.report.id.Text()},
+                   {"born", std::to_string(born)},
+                   {"fence", std::to_string(worker.fence)},
                    {"running", std::to_string(reply.running.size())},
                    {"ended", std::to_string(reply.ended.size())}});
   }
