Send no start to a worker that left its last poll unanswered

Such a worker was still given starts: it counted as usable for 3.2 s after its last answer, the answer to a start counted as one, and unanswered starts were sent again every 0.9 s until the lease had passed. Until it answers a poll it may be another incarnation, for which neither the start nor the lease in it was decided.

A worker that left its latest poll unanswered is not usable, and gets neither first nor repeated starts until it answers. Starts that were not sent yet are withdrawn and placed elsewhere.

a_worker_that_lost_its_connection_gets_no_tasks required a start after a poll that was only late, which is what breaks the rule. Its two rows now require the same: none before an answer, then one.

--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -45,6 +45,9 @@
   TimePoint poll_sent_at;
   TimePoint next_poll;
   int unanswered_polls = 0;
+  /// Whether the latest poll got no answer. Its lease is left to expire, and it
+  /// gets no starts: it may be another incarnation by now.
+  auto IsSilent() const -> bool { return this->unanswered_polls > 0; }
 
   Milliseconds clock{};  ///< The worker's clock at time `clock_at`.
   TimePoint clock_at;
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -540,6 +540,12 @@
     if (!may_start || !task->NeedsOrder() || now < task->next_send) {
       continue;
     }
+    if (worker.IsSilent()) {
+      if (task->first_start_sent_at == TimePoint()) {
+        withdrawn.push_back({task, "worker-silent"});
+      }
+      continue;
+    }
     // The capacity of a worker may shrink after the assignment.
     const bool exceeds_capacity = !expected_use.FitsIn(worker.report.capacity);
     const bool is_expired =
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -189,10 +189,6 @@
 
 auto Scheduler::Core::ExtendLease(LiveWorker& worker, TimePoint now)
     -> Milliseconds {
-  if (worker.unanswered_polls > 0) {
-    // The lease of an unresponsive worker is left to expire.
-    return worker.lease_end;
-  }
   const auto until = worker.ClockAtMost(now) + this->options.lease;
   worker.lease_end = std::max(worker.lease_end, until);
   return until;
@@ -204,8 +200,9 @@
   const bool is_described = worker.report.born_unix_ms == 0 ||
                             worker.report.born_unix_ms == worker.born_unix_ms;
   return worker.is_listed && worker.is_attached && is_described &&
-         !worker.connection_lost_at && !worker.has_orphaned_runs &&
-         !worker.report.is_draining && now >= worker.quarantined_until &&
+         !worker.IsSilent() && !worker.connection_lost_at &&
+         !worker.has_orphaned_runs && !worker.report.is_draining &&
+         now >= worker.quarantined_until &&
          worker.pace.kind != PaceClass::kStalling &&
          !this->unanswered_starts.MayRunOn(
              {worker.report.id, worker.born_unix_ms}) &&
@@ -519,11 +516,10 @@
     // acknowledged twice: a poll may be executed late.
     const bool is_acknowledged =
         worker.completions_stored <= worker.completions_acknowledged;
-    order.acknowledged = worker.unanswered_polls > 0 || is_acknowledged
-                             ? 0
-                             : worker.completions_stored;
+    order.acknowledged =
+        worker.IsSilent() || is_acknowledged ? 0 : worker.completions_stored;
     // The worker's clock is unknown before its first answer.
-    if (may_renew && worker.is_attached && worker.unanswered_polls == 0) {
+    if (may_renew && worker.is_attached && !worker.IsSilent()) {
       order.lease_until = this->ExtendLease(worker, now);
     }
     const bool waits_for_stop =
@@ -532,7 +528,7 @@
             [](const auto& entry) { return entry.second->stop_requested; }) ||
         worker.has_orphaned_runs;
     const bool is_quick = !worker.is_attached || is_storing || waits_for_stop ||
-                          worker.unanswered_polls > 0;
+                          worker.IsSilent();
     order.wait = is_quick              ? Milliseconds::zero()
                  : worker.suspects > 0 ? kSuspectPollWait
                                        : kMaxPollWait;
--- a/libs/cell/tests/delivery_model.h
+++ b/libs/cell/tests/delivery_model.h
@@ -43,6 +43,9 @@
     /// Longest lease that a worker grants.
     Milliseconds max_lease = kLease;
     Milliseconds longest_task = kUsualTask;
+    /// Half of the workers that restart are cut off soon after, also from the
+    /// store, so that the leader may learn of the restart only afterwards.
+    bool cuts_restarted_workers = false;
   };
 
   DeliveryModel(std::uint64_t seed, Options options)
@@ -72,6 +75,7 @@
     this->is_calm = true;
     for (auto& [id, worker] : this->workers) {
       worker.is_cut = false;
+      worker.is_cut_from_store = false;
       worker.capacity = kCapacity;
       worker.reported_capacity = kCapacity;
     }
@@ -121,6 +125,7 @@
     TimePoint shrank_at;
     bool is_down = false;
     bool is_cut = false;
+    bool is_cut_from_store = false;
     std::map<TaskId, ActiveRun> runs;
     std::map<TaskId, int> highest_ended;
     std::vector<EndedTask> ended;
@@ -545,8 +550,29 @@
       worker.rate = rate;
       worker.born = born + 1;
       worker.born_at = this->clock.Now();
-      this->At(milliseconds(this->Between(0, 1500)),
-               [this, id] { this->Announce(id); });
+      this->At(milliseconds(this->Between(0, 1500)), [this, id, &worker] {
+        if (!worker.is_cut_from_store) {
+          this->Announce(id);
+        }
+      });
+      if (this->options.cuts_restarted_workers && this->Chance(5000)) {
+        this->At(milliseconds(this->Between(0, 2500)),
+                 [this, id, &worker, born = worker.born] {
+                   if (worker.born == born) {
+                     this->CutOffForSeconds(id, worker);
+                   }
+                 });
+      }
+    });
+  }
+
+  auto CutOffForSeconds(const WorkerId& id, Worker& worker) -> void {
+    worker.is_cut = true;
+    worker.is_cut_from_store = true;
+    this->At(milliseconds(this->Between(2000, 12'000)), [this, id, &worker] {
+      worker.is_cut = false;
+      worker.is_cut_from_store = false;
+      this->Announce(id);
     });
   }
 
--- a/libs/cell/tests/runs_test.cc
+++ b/libs/cell/tests/runs_test.cc
@@ -423,9 +423,9 @@
   }
 }
 
-// A poll whose connection is lost shows at once that the worker is gone; one
-// that is only late does not.
-BOOST_AUTO_TEST_CASE(a_worker_that_lost_its_connection_gets_no_tasks) {
+// A poll whose connection is lost shows at once that the worker is gone. After
+// one that is only late, it may be another incarnation.
+BOOST_AUTO_TEST_CASE(a_worker_that_left_a_poll_unanswered_gets_no_tasks) {
   for (const bool is_late : {false, true}) {
     BOOST_TEST_CONTEXT("late: " << is_late) {
       SchedulerFixture cell;
@@ -436,9 +436,9 @@
       cell.clock.Advance(is_late ? Duration(seconds(3)) : milliseconds(50));
       cell.scheduler.OnPollReply(polls[0], {}, sent, cell.clock.Now());
       cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
-      BOOST_TEST(cell.Starts().size() == (is_late ? 1U : 0U));
+      BOOST_TEST(cell.Starts().empty());
       cell.AnswerPoll("w1");
-      BOOST_TEST(cell.Starts().size() == (is_late ? 0U : 1U));
+      BOOST_TEST(cell.Starts().size() == 1U);
     }
   }
 }
--- /dev/null
+++ b/libs/cell/tests/silent_worker_test.cc
@@ -0,0 +1,106 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include "scheduler_fixture.h"
+
+namespace shallotbank::cell {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Milliseconds kMaxLease(10'000);
+/// Of a poll without an answer; a shorter one means a lost connection.
+constexpr milliseconds kPollTimeout(2'500);
+
+/// One worker, whose polls and starts a test answers or leaves unanswered.
+struct SilentWorkerCell : SchedulerFixture {
+  SilentWorkerCell()
+      : SchedulerFixture(SchedulerOptions{.epoch = 7, .max_lease = kMaxLease}) {
+    this->AddWorker("w1");
+  }
+
+  auto LeaveUnanswered(const PollOrder& poll) -> void {
+    const auto now = this->clock.Now();
+    this->scheduler.OnPollReply(poll, PollReply(), now - kPollTimeout, now);
+  }
+  enum class Polls { kInFlight, kUnanswered };
+  /// Returns the starts of the next decisions, and leaves them unanswered.
+  auto StartsWithin(milliseconds time, Polls polls) -> std::vector<StartOrder> {
+    std::vector<StartOrder> starts;
+    const auto end = this->clock.Now() + time;
+    while (this->clock.Now() < end) {
+      auto decisions = this->Decide();
+      if (decisions.batch) {
+        this->Store();
+      }
+      if (polls == Polls::kUnanswered) {
+        for (const auto& poll : decisions.polls) {
+          this->LeaveUnanswered(poll);
+        }
+      }
+      for (auto& start : decisions.starts) {
+        this->Answer(start, OrderOutcome::kNoAnswer);
+        starts.push_back(std::move(start));
+      }
+    }
+    return starts;
+  }
+};
+
+struct SilenceCase {
+  const char* name;
+  bool has_sent_before;  ///< The start was sent once, without an answer.
+};
+
+// Until it answers, the worker may be another incarnation, which the start was
+// not decided for and whose leases the leader does not know.
+BOOST_AUTO_TEST_CASE(a_worker_that_left_a_poll_unanswered_gets_no_start) {
+  const SilenceCase cases[] = {
+      {"first start", false},
+      {"repeated start", true},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      SilentWorkerCell cell;
+      cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
+      if (test_case.has_sent_before) {
+        const auto starts = cell.Starts();
+        BOOST_REQUIRE(starts.size() == 1);
+        cell.Answer(starts[0], OrderOutcome::kNoAnswer);
+      } else {
+        cell.Decide();
+        cell.Store();  // The start is due.
+      }
+      cell.LeaveUnanswered(cell.PollOrderFor("w1"));
+      using Polls = SilentWorkerCell::Polls;
+      BOOST_TEST(cell.StartsWithin(seconds(5), Polls::kUnanswered).empty());
+      cell.AnswerPoll("w1");
+      const auto starts =
+          cell.StartsWithin(milliseconds(100), Polls::kInFlight);
+      BOOST_TEST(starts.size() == 1U);
+    }
+  }
+}
+
+// The answer to a start shows only that some incarnation is there, and the
+// lease in the next start would have passed already.
+BOOST_AUTO_TEST_CASE(a_worker_whose_lease_is_left_to_expire_gets_no_run) {
+  SilentWorkerCell cell;
+  cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
+  const auto starts = cell.Starts();
+  BOOST_REQUIRE(starts.size() == 1);
+  cell.LeaveUnanswered(cell.PollOrderFor("w1"));
+  const auto clock =
+      std::chrono::floor<Milliseconds>(cell.clock.Now().time_since_epoch());
+  cell.scheduler.OnStartReply(starts[0], {OrderOutcome::kDone, clock},
+                              cell.clock.Now());
+  cell.scheduler.OnJob(cell.Job("b", 1, 1000), {}, cell.clock.Now());
+  cell.Decide();
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == 1U);
+}
+
+}  // namespace
+}  // namespace shallotbank::cell
