Stop the members of a gang whose run a previous leader gave up

The previous leader had returned the lost members to waiting, which is stored, and was stopping the others when it was replaced. That the run was given up was known to its memory only; the next leader waited for members that nobody stopped.

A leader that restores a gang of which some members wait and others are assigned gives up that run.

a_gang_that_lost_members_before_is_stopped_and_restarted failed before.

--- a/libs/cell/src/jobs.cc
+++ b/libs/cell/src/jobs.cc
@@ -164,6 +164,7 @@
       task.stage = RunStage::kUnknown;
       task.next_send = now;
     }
+    this->AbandonPartialGang(step);
     if (step.unfinished == 0) {
       occurrence.unfinished_steps--;
     }
@@ -180,6 +181,18 @@
   this->UpdateReady(occurrence);
 }
 
+auto Scheduler::Core::AbandonPartialGang(LiveStep& step) -> void {
+  if (!step.spec->is_gang || step.waiting == 0) {
+    return;
+  }
+  const auto member = std::find_if(
+      step.tasks.begin(), step.tasks.end(),
+      [](const auto& task) { return task.stage != RunStage::kNone; });
+  if (member != step.tasks.end()) {
+    this->AbandonGang(step, member->persistent.run);
+  }
+}
+
 auto Scheduler::Core::UpdateReady(LiveOccurrence& occurrence) -> void {
   for (auto& step : occurrence.steps) {
     step.is_ready =
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -129,6 +129,9 @@
   auto RestoreOccurrence(LiveJob& job,
                          const OccurrenceProgress& stored,
                          TimePoint now) -> void;
+  /// Stops the members of a restored gang of which a previous leader gave up
+  /// the run and returned the others to waiting.
+  auto AbandonPartialGang(LiveStep& step) -> void;
   auto BeginDueOccurrences(std::chrono::system_clock::time_point wall) -> void;
   auto UpdateReady(LiveOccurrence& occurrence) -> void;
   auto OnStepDone(LiveStep& step) -> void;
--- a/libs/cell/tests/takeover_test.cc
+++ b/libs/cell/tests/takeover_test.cc
@@ -83,6 +83,34 @@
   }
 }
 
+// The decision to give up the run of a gang is not stored, only the members
+// that have ended, and the others waited for them for good.
+BOOST_AUTO_TEST_CASE(a_gang_that_lost_members_before_is_stopped_and_restarted) {
+  SchedulerFixture cell(2);
+  cell.scheduler.OnWorker(cell.Report("w1"), cell.clock.Now());
+  auto progress = AssignedTo("w1", 3);
+  progress.occurrences[0].steps[0][0].phase = TaskPhase::kWaiting;
+  cell.scheduler.OnJob(cell.Job("g", 3, 1000, true), progress,
+                       cell.clock.Now());
+  cell.AnswerPoll("w1", {Running("g", 1), Running("g", 2)});
+  const auto stops = cell.Decide().stops;
+  BOOST_REQUIRE(stops.size() == 2);
+  std::vector<EndedTask> ended;
+  for (const auto& stop : stops) {
+    BOOST_TEST(stop.run == 1);
+    cell.scheduler.OnStopReply(stop, {OrderOutcome::kDone, std::nullopt},
+                               cell.clock.Now());
+    ended.push_back(
+        {ended.size() + 1, stop.task, stop.run, EndKind::kStopped, ""});
+  }
+  cell.AnswerPoll("w1", {}, ended);
+  const auto starts = cell.Starts();
+  BOOST_REQUIRE(starts.size() == 3);
+  for (const auto& start : starts) {
+    BOOST_TEST(start.run == 2);
+  }
+}
+
 // Tasks of a job that has ended use capacity until they are stopped, although
 // their demand is no longer known.
 BOOST_AUTO_TEST_CASE(a_worker_with_orphaned_runs_gets_no_tasks) {
