--- a/libs/cell/tests/former_incarnation_test.cc
+++ b/libs/cell/tests/former_incarnation_test.cc
@@ -136,6 +136,59 @@
   }
 }
 
+struct UnreachedCase {
+  const char* name;
+  bool is_taken_over;  ///< Assigned by a previous leader; else its restart is
+                       ///< known from its entry.
+  seconds silence;
+  bool is_lost;
+};
+
+// Nobody knows what the present incarnation was told before this leader reached
+// it, so that its runs may last for the longest lease. A previous leader may
+// have told it until 10 s after the takeover.
+BOOST_AUTO_TEST_CASE(a_worker_that_was_not_reached_may_hold_the_longest_lease) {
+  const UnreachedCase cases[] = {
+      {"restarted, within the longest lease", false, seconds(9), false},
+      {"restarted, after it", false, seconds(12), true},
+      {"taken over, within the longest lease", true, seconds(19), false},
+      {"taken over, after it", true, seconds(22), true},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      RebornWorkerCell cell;
+      cell.List(1);
+      JobProgress progress;
+      if (test_case.is_taken_over) {
+        progress.next_occurrence = 1;
+        auto& step = progress.occurrences.emplace_back().steps.emplace_back();
+        auto& task = step.emplace_back();
+        task.phase = TaskPhase::kAssigned;
+        task.run = 1;
+        task.worker = {WorkerId("w1"), 1};
+      } else {
+        cell.Attach(1, seconds(100));
+      }
+      cell.scheduler.OnJob(cell.Job("a", 1, 1000), progress, cell.clock.Now());
+      if (!test_case.is_taken_over) {
+        const auto starts = cell.Starts();
+        BOOST_REQUIRE(starts.size() == 1);
+        cell.Answer(starts[0], OrderOutcome::kDone);
+        cell.List(2);
+      }
+      const auto end = cell.clock.Now() + test_case.silence;
+      while (cell.clock.Now() < end) {
+        for (const auto& poll : cell.Decide().polls) {
+          cell.scheduler.OnPollReply(poll, PollReply(), cell.clock.Now(),
+                                     cell.clock.Now());
+        }
+      }
+      BOOST_TEST(cell.scheduler.Count().assigned_tasks ==
+                 (test_case.is_lost ? 0U : 1U));
+    }
+  }
+}
+
 struct FencedCase {
   const char* name;
   bool is_for_former;
