--- a/libs/cell/tests/former_incarnation_test.cc
+++ b/libs/cell/tests/former_incarnation_test.cc
@@ -144,9 +144,9 @@
   bool is_lost;
 };
 
-// Nobody knows what the present incarnation was told before this leader reached
-// it, so that its runs may last for the longest lease. A previous leader may
-// have told it until 10 s after the takeover.
+// An incarnation that this leader has not reached may hold the longest lease by
+// an order that was not meant for it, or by one of a previous leader, which may
+// have sent it until 10 s after the takeover.
 BOOST_AUTO_TEST_CASE(a_worker_that_was_not_reached_may_hold_the_longest_lease) {
   const UnreachedCase cases[] = {
       {"restarted, within the longest lease", false, seconds(9), false},
--- a/libs/cell/tests/reborn_delivery_model_test.cc
+++ b/libs/cell/tests/reborn_delivery_model_test.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 24;
+/// Fails, see KNOWN-RED.txt.
 constexpr std::uint64_t kFurtherSeed = 62;
 
 // Nor does a start that reaches its worker seconds later, after a restart.
