--- a/libs/cell/tests/recut_model_test.cc
+++ b/libs/cell/tests/cut_after_restart_model_test.cc
@@ -7,7 +7,7 @@
 
 constexpr std::uint64_t kSeeds = 24;
 
-struct RecutCase {
+struct CutCase {
   const char* name;
   DeliveryModel::Options options;
   /// Played besides the first ones.
@@ -17,7 +17,7 @@
 // A worker that was cut off soon after a restart got starts that were decided
 // for its former incarnation, by leases that the leader did not know.
 BOOST_AUTO_TEST_CASE(no_restart_before_a_cut_repeats_a_task) {
-  const RecutCase cases[] = {
+  const CutCase cases[] = {
       {"leases as the leader's", {.cuts_restarted_workers = true}, {117}},
       {"longer leases, late polls, long tasks",
        {.outliving = {.polls = true},
