--- a/apps/cell/leader_report.cc
+++ b/apps/cell/leader_report.cc
@@ -12,11 +12,6 @@
 /// grow.
 constexpr std::chrono::seconds kReportInterval(1);
 
-auto ToMilliseconds(Duration time) -> std::string {
-  return std::to_string(
-      std::chrono::floor<std::chrono::milliseconds>(time).count());
-}
-
 }  // namespace
 
 auto LeaderReport::Tick(const Scheduler& scheduler,
@@ -64,19 +59,20 @@
   LogEvent(
       Event::kLeaderLoad,
       {{"epoch", std::to_string(this->epoch)},
-       {"callers_ms", ToMilliseconds(busy.Total(Duty::kCallers))},
-       {"store_replies_ms", ToMilliseconds(busy.Total(Duty::kStoreReplies))},
-       {"worker_replies_ms", ToMilliseconds(busy.Total(Duty::kWorkerReplies))},
-       {"deciding_ms", ToMilliseconds(busy.Total(Duty::kDeciding))},
-       {"sending_ms", ToMilliseconds(busy.Total(Duty::kSending))},
-       {"feeding_ms", ToMilliseconds(busy.Total(Duty::kFeeding))},
+       {"callers_ms", MillisecondsText(busy.Total(Duty::kCallers))},
+       {"store_replies_ms", MillisecondsText(busy.Total(Duty::kStoreReplies))},
+       {"worker_replies_ms",
+        MillisecondsText(busy.Total(Duty::kWorkerReplies))},
+       {"deciding_ms", MillisecondsText(busy.Total(Duty::kDeciding))},
+       {"sending_ms", MillisecondsText(busy.Total(Duty::kSending))},
+       {"feeding_ms", MillisecondsText(busy.Total(Duty::kFeeding))},
        {"worker_calls", std::to_string(workers.calls)},
        {"worker_client_wakeups", std::to_string(workers.wakeups)},
-       {"worker_client_ms", ToMilliseconds(workers.busy)},
+       {"worker_client_ms", MillisecondsText(workers.busy)},
        {"other_calls", std::to_string(others.calls)},
        {"other_client_wakeups", std::to_string(others.wakeups)},
-       {"other_client_ms", ToMilliseconds(others.busy)},
-       {"max_tick_delay_ms", ToMilliseconds(lag)}});
+       {"other_client_ms", MillisecondsText(others.busy)},
+       {"max_tick_delay_ms", MillisecondsText(lag)}});
 }
 
 }  // namespace shallotbank::cell
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
+
 namespace shallotbank {
 
 enum class Severity { kDebug, kInfo, kWarning, kError };
@@ -63,6 +65,9 @@
 /// One field of a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
+/// The value of a field with a time: whole milliseconds, rounded down.
+auto MillisecondsText(Duration time) -> std::string;
+
 /// Writes log lines of `severity` or above to standard output. Call once in
 /// main. A dedicated thread writes the lines; if standard output is too slow,
 /// lines are dropped and a later line reports their number.
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -254,6 +254,11 @@
   Writer().reset();
 }
 
+auto MillisecondsText(Duration time) -> std::string {
+  return std::to_string(
+      std::chrono::floor<std::chrono::milliseconds>(time).count());
+}
+
 auto LogEvent(Event event, std::initializer_list<LogField> fields) -> void {
   WriteEvent(event, fields);
 }
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -25,11 +25,6 @@
 /// would time out before they are sent.
 constexpr std::ptrdiff_t kMaxStartsInFlight = 64;
 
-auto ToMilliseconds(Duration time) -> std::string {
-  return std::to_string(
-      std::chrono::floor<std::chrono::milliseconds>(time).count());
-}
-
 auto StageName(RunStage stage) -> const char* {
   switch (stage) {
     case RunStage::kNone:
@@ -125,8 +120,8 @@
         {{"step", step.name},
          {"tasks", std::to_string(step.tasks.size())},
          {"worker", worker.report.id.Text()},
-         {"job_age_ms", ToMilliseconds(now - job.accepted_at)},
-         {"advice_ms", ToMilliseconds(step.advice.query_time)},
+         {"job_age_ms", MillisecondsText(now - job.accepted_at)},
+         {"advice_ms", MillisecondsText(step.advice.query_time)},
          {"configuration", std::to_string(this->configuration.version)}});
   }
   task.hold_until = TimePoint();
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -43,11 +43,6 @@
 /// A worker without an answer for this time gets no new tasks.
 constexpr std::chrono::milliseconds kUnresponsiveAfter{3200};
 
-auto ToMilliseconds(Duration time) -> std::string {
-  return std::to_string(
-      std::chrono::floor<std::chrono::milliseconds>(time).count());
-}
-
 /// Whether the answer to a poll that was sent before the lease ended may wait
 /// in this process; it may list completions.
 auto IsAnswerDue(const LiveWorker& worker) -> bool {
@@ -133,7 +128,7 @@
                  {"former_born", std::to_string(worker.born_unix_ms)},
                  {"fence", std::to_string(fence)},
                  {"source", source},
-                 {"silent_ms", ToMilliseconds(now - worker.clock_at)},
+                 {"silent_ms", MillisecondsText(now - worker.clock_at)},
                  {"assigned", std::to_string(worker.tasks.size())},
                  {"unanswered", std::to_string(unanswered)}});
   worker.born_unix_ms = born;
