Give up a gang whose member waits on a silent worker

What callers saw: a gang held all its workers until the lease of the silent one had lapsed, up to 11 s, instead of 2 s.

Cause: the time that a gang has for its starts was checked when a repeated start got no answer. Since a silent worker gets no repeated starts.

Change: the time is checked where the start is not repeated as well.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -41,6 +41,11 @@
   return "";
 }
 
+auto IsGangStartOverdue(const LiveTask& member, TimePoint now) -> bool {
+  return member.step->spec->is_gang &&
+         now - member.first_start_sent_at >= kGangStartTimeout;
+}
+
 }  // namespace
 
 auto Scheduler::Core::FindTask(const WorkerId& worker,
@@ -400,8 +405,7 @@
         task->is_start_uncertain |= is_unanswered;
         task->next_send = now + kResendDelay;
       }  // Otherwise resent at once with a later lease.
-      if (step.spec->is_gang &&
-          now - task->first_start_sent_at >= kGangStartTimeout) {
+      if (IsGangStartOverdue(*task, now)) {
         this->AbandonGang(step, task->persistent.run);
       }
       return;
@@ -522,7 +526,8 @@
                                       TimePoint now,
                                       bool may_start,
                                       Decisions& decisions,
-                                      std::vector<WithdrawnStart>& withdrawn)
+                                      std::vector<WithdrawnStart>& withdrawn,
+                                      std::vector<LiveTask*>& overdue_members)
     -> void {
   auto expected_use = worker.used;
   auto starts_in_flight = std::count_if(
@@ -539,6 +544,8 @@
     if (worker.IsSilent()) {
       if (task->first_start_sent_at == TimePoint()) {
         withdrawn.push_back({task, "worker-silent"});
+      } else if (IsGangStartOverdue(*task, now)) {
+        overdue_members.push_back(task);
       }
       continue;
     }
@@ -592,6 +599,7 @@
                                     bool may_start,
                                     Decisions& decisions) -> void {
   std::vector<WithdrawnStart> withdrawn;
+  std::vector<LiveTask*> overdue_members;
   std::erase_if(this->order_workers, [&](const WorkerId& id) {
     const auto found = this->workers.find(id);
     if (found == this->workers.end()) {
@@ -601,7 +609,8 @@
     if (worker.report.address.empty()) {
       return false;
     }
-    this->SendDueOrdersTo(worker, now, may_start, decisions, withdrawn);
+    this->SendDueOrdersTo(worker, now, may_start, decisions, withdrawn,
+                          overdue_members);
     return std::none_of(
         worker.tasks.begin(), worker.tasks.end(),
         [](const auto& entry) { return entry.second->NeedsOrder(); });
@@ -611,6 +620,9 @@
       this->OnRunLost(*task, reason);
     }
   }
+  for (const auto* member : overdue_members) {
+    this->AbandonGang(*member->step, member->persistent.run);
+  }
 }
 
 }  // namespace shallotbank::cell
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -183,7 +183,8 @@
                        TimePoint now,
                        bool may_start,
                        Decisions& decisions,
-                       std::vector<WithdrawnStart>& withdrawn) -> void;
+                       std::vector<WithdrawnStart>& withdrawn,
+                       std::vector<LiveTask*>& overdue_members) -> void;
   auto SendStop(LiveWorker& worker,
                 LiveTask& task,
                 TimePoint now,
--- a/libs/cell/tests/silent_worker_test.cc
+++ b/libs/cell/tests/silent_worker_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -145,5 +146,44 @@
   }
 }
 
+// Guards against a gang that keeps its workers until the lease of a silent one
+// has lapsed, since only answers to repeated starts showed that it is overdue.
+BOOST_AUTO_TEST_CASE(a_gang_with_a_member_on_a_silent_worker_is_given_up_soon) {
+  SchedulerFixture cell(SchedulerOptions{.epoch = 7, .max_lease = kMaxLease});
+  cell.AddWorker("w1", 1000);
+  cell.AddWorker("w2", 1000);
+  cell.clock.Advance(seconds(15));
+  cell.AnswerPoll("w1");
+  cell.AnswerPoll("w2");
+  cell.scheduler.OnJob(cell.Job("a", 2, 1000, true), {}, cell.clock.Now());
+  std::optional<StartOrder> confirmed;
+  for (const auto& start : cell.Starts()) {
+    const bool is_confirmed = start.target.worker == WorkerId("w1");
+    cell.Answer(start,
+                is_confirmed ? OrderOutcome::kDone : OrderOutcome::kNoAnswer);
+    if (is_confirmed) {
+      confirmed = start;
+    }
+  }
+  BOOST_REQUIRE(confirmed.has_value());
+  const auto begin = cell.clock.Now();
+  auto next_timeout = begin;
+  bool is_stopped = false;
+  while (!is_stopped && cell.clock.Now() < begin + seconds(3)) {
+    const auto decisions = cell.Decide();
+    is_stopped = std::any_of(
+        decisions.stops.begin(), decisions.stops.end(),
+        [](const auto& stop) { return stop.target.worker == WorkerId("w1"); });
+    cell.AnswerPoll("w1", {RunningAs(*confirmed)});
+    const auto now = cell.clock.Now();
+    if (now >= next_timeout) {
+      cell.scheduler.OnPollReply(cell.PollOrderFor("w2"), PollReply(),
+                                 now - kPollTimeout, now);
+      next_timeout = now + kPollTimeout;
+    }
+  }
+  BOOST_TEST(is_stopped);
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
