Cover a repeated copy of a confirmed start by the longest lease

What callers would see: a task that runs twice. A poll lists a run while its start is still in flight; the worker restarts unnoticed, executes another copy of the order and is cut off. The leader counted on its own lease, the next incarnation holds its longest one.

Cause: a start without an answer was remembered only while no poll had listed its run, and only unconfirmed starts were covered by the longest lease.

Change: an unanswered start is remembered whatever its stage, and covers the run.

Result: a_copy_of_a_confirmed_start_is_covered_by_its_lease fails before this change and passes with it. In the core only: no run with real hosts shows it.

--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -374,7 +374,7 @@
     return;
   }
   task->is_start_in_flight = false;
-  task->is_start_uncertain |= reply.has_unanswered_copy;
+  task->is_start_uncertain |= is_unanswered || reply.has_unanswered_copy;
   this->ExpectOrder(*task);
   auto& worker = entry->second;
   // The answer of an earlier incarnation confirms nothing on this one, where
@@ -402,7 +402,6 @@
         break;
       }
       if (reply.outcome == OrderOutcome::kNoAnswer) {
-        task->is_start_uncertain |= is_unanswered;
         task->next_send = now + kResendDelay;
       }  // Otherwise resent at once with a later lease.
       if (IsGangStartOverdue(*task, now)) {
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -480,8 +480,10 @@
       }
       std::vector<LiveTask*> lost;
       for (auto& [name, task] : worker.tasks) {
+        const bool was_sent = task->stage == RunStage::kStarting ||
+                              task->stage == RunStage::kRunning;
         const bool may_work =
-            task->stage == RunStage::kStarting &&
+            was_sent &&
             (task->is_start_uncertain || task->is_start_in_flight) &&
             now <= this->LongestLeaseEnd(task->last_start_sent_at);
         if (!may_work) {
--- a/libs/cell/tests/silent_worker_test.cc
+++ b/libs/cell/tests/silent_worker_test.cc
@@ -146,6 +146,22 @@
   }
 }
 
+// Guards against a run that is given up while its next copy works: a poll lists
+// it, the worker restarts, and the next incarnation executes another copy.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_confirmed_start_is_covered_by_its_lease) {
+  SilentWorkerCell cell;
+  cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
+  const auto starts = cell.Starts();
+  BOOST_REQUIRE(starts.size() == 1);
+  cell.AnswerPoll("w1", {RunningAs(starts[0])});
+  cell.Answer(starts[0], OrderOutcome::kNoAnswer);
+  cell.LeaveUnanswered(cell.PollOrderFor("w1"));
+  cell.StartsWithin(seconds(9), SilentWorkerCell::Polls::kUnanswered);
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == 1U);
+  cell.StartsWithin(seconds(3), SilentWorkerCell::Polls::kUnanswered);
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == 0U);
+}
+
 // Guards against a gang that keeps its workers until the lease of a silent one
 // has lapsed, since only answers to repeated starts showed that it is overdue.
 BOOST_AUTO_TEST_CASE(a_gang_with_a_member_on_a_silent_worker_is_given_up_soon) {
