Count the longest lease from the end of the start order

Cause: the longest lease of a start without an answer was counted from when it was sent. The worker counts from when it executes the order.

Change: it is counted from when the order was found to have no answer.

Result: the_longest_lease_counts_from_the_end_of_the_order fails before this change and passes with it. In the core only.

--- a/libs/cell/src/live_job.h
+++ b/libs/cell/src/live_job.h
@@ -48,7 +48,9 @@
   /// of a repeated order proves nothing.
   bool is_start_uncertain = false;
   TimePoint first_start_sent_at;  ///< Of the latest run; unset before it.
-  TimePoint last_start_sent_at;
+  /// When a copy of the start was sent, or found to have no answer, last: until
+  /// then the worker may have executed one.
+  TimePoint last_start_in_flight_at;
   TimePoint confirmed_at;  ///< When the worker confirmed the start.
   bool stop_requested = false;
   bool is_stop_in_flight = false;
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -374,7 +374,10 @@
     return;
   }
   task->is_start_in_flight = false;
-  task->is_start_uncertain |= is_unanswered || reply.has_unanswered_copy;
+  if (is_unanswered || reply.has_unanswered_copy) {
+    task->is_start_uncertain = true;
+    task->last_start_in_flight_at = now;
+  }
   this->ExpectOrder(*task);
   auto& worker = entry->second;
   // The answer of an earlier incarnation confirms nothing on this one, where
@@ -505,7 +508,7 @@
   order.checkpoint = task.persistent.checkpoint;
   order.ticket = task.ticket;
   task.is_start_in_flight = true;
-  task.last_start_sent_at = now;
+  task.last_start_in_flight_at = now;
   if (task.first_start_sent_at == TimePoint()) {
     task.first_start_sent_at = now;
   }
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -485,7 +485,7 @@
         const bool may_work =
             was_sent &&
             (task->is_start_uncertain || task->is_start_in_flight) &&
-            now <= this->LongestLeaseEnd(task->last_start_sent_at);
+            now <= this->LongestLeaseEnd(task->last_start_in_flight_at);
         if (!may_work) {
           lost.push_back(task);
         }
--- a/libs/cell/tests/silent_worker_test.cc
+++ b/libs/cell/tests/silent_worker_test.cc
@@ -162,6 +162,29 @@
   BOOST_TEST(cell.scheduler.Count().assigned_tasks == 0U);
 }
 
+// Guards against a run that is given up while it works, since its order took
+// long to reach the next incarnation, e.g. by way of a host that was lost.
+BOOST_AUTO_TEST_CASE(the_longest_lease_counts_from_the_end_of_the_order) {
+  constexpr milliseconds kOnTheWay(900);
+  constexpr milliseconds kOrderTimeout(1'300);
+  // The clock of a worker may run 2% slow.
+  constexpr milliseconds kLongestLease(10'204);
+  SilentWorkerCell cell;
+  cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
+  const auto starts = cell.Starts();
+  BOOST_REQUIRE(starts.size() == 1);
+  const auto lease_end = cell.clock.Now() + kOnTheWay + kLongestLease;
+  cell.clock.Advance(kOrderTimeout);
+  cell.Answer(starts[0], OrderOutcome::kNoAnswer);
+  cell.LeaveUnanswered(cell.PollOrderFor("w1"));
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      lease_end - cell.clock.Now() - milliseconds(60));
+  cell.StartsWithin(left, SilentWorkerCell::Polls::kUnanswered);
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == 1U);
+  cell.StartsWithin(seconds(3), SilentWorkerCell::Polls::kUnanswered);
+  BOOST_TEST(cell.scheduler.Count().assigned_tasks == 0U);
+}
+
 // Guards against a gang that keeps its workers until the lease of a silent one
 // has lapsed, since only answers to repeated starts showed that it is overdue.
 BOOST_AUTO_TEST_CASE(a_gang_with_a_member_on_a_silent_worker_is_given_up_soon) {
