Recognise a restart by the clock in the answer to a start

A worker that restarted between two answered polls was taken for its former incarnation. The next poll acknowledged ends of the former one and so discarded an end of the next that nobody had seen: callers saw a task run again after it was done. A late answer of the former one set the worker's clock back to its own, so a run was given up and started elsewhere while it worked.

The clock of a worker counts anew in each incarnation. If that in the answer to a start is behind what earlier answers allow, the fence rises, the worker is polled at once, and it gets no start, lease or acknowledgement before it answers. Answers with the former fence count for nothing, its clock included. Nothing is acknowledged while a start has been in flight for 0.1 s, or if one had no answer after the latest answered poll was sent.

--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -44,6 +44,7 @@
   kWorkerQuarantined = 4003,
   kWorkerPace = 4004,
   kWorkerRestarted = 4005,
+  kWorkerClockWentBack = 4006,
   kTaskLost = 4101,
   kJobFinished = 4102,
   kStartRefused = 4103,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -59,6 +59,7 @@
     EventEntry{Event::kWorkerQuarantined, Severity::kWarning, "worker-quarantined"},
     EventEntry{Event::kWorkerPace, Severity::kInfo, "worker-pace"},
     EventEntry{Event::kWorkerRestarted, Severity::kInfo, "worker-restarted"},
+    EventEntry{Event::kWorkerClockWentBack, Severity::kInfo, "worker-clock-went-back"},
     EventEntry{Event::kTaskLost, Severity::kWarning, "task-lost"},
     EventEntry{Event::kJobFinished, Severity::kInfo, "job-finished"},
     EventEntry{Event::kStartRefused, Severity::kWarning, "start-refused"},
--- a/libs/cell/src/live_worker.h
+++ b/libs/cell/src/live_worker.h
@@ -44,6 +44,10 @@
   bool is_poll_in_flight = false;
   TimePoint poll_sent_at;
   TimePoint next_poll;
+  /// Of the latest poll that this incarnation answered.
+  TimePoint answered_poll_sent_at;
+  /// When a start to the worker was found to have no answer, last.
+  TimePoint start_unanswered_at = TimePoint::min();
   int unanswered_polls = 0;
   /// Whether the latest poll got no answer. Its lease is left to expire, and it
   /// gets no starts: it may be another incarnation by now.
--- a/libs/cell/src/runs.cc
+++ b/libs/cell/src/runs.cc
@@ -356,9 +356,6 @@
   const auto entry = this->workers.find(order.target.worker);
   const bool is_for_former =
       entry != this->workers.end() && order.target.fence < entry->second.fence;
-  if (entry != this->workers.end() && reply.worker_clock && !is_for_former) {
-    this->UpdateClock(entry->second, *reply.worker_clock, now);
-  }
   if (reply.outcome == OrderOutcome::kFenced) {
     this->OnFenced(order.target);
   }
@@ -368,11 +365,18 @@
     this->unanswered_starts.Add(
         {order.target.worker, order.target.born_unix_ms},
         {order.task, order.run}, now);
+    if (entry != this->workers.end()) {
+      entry->second.start_unanswered_at = now;
+    }
   }
   auto* task = this->FindTask(order.target.worker, order.task, order.run);
   if (task == nullptr) {
     return;
   }
+  if (reply.worker_clock && !is_for_former) {
+    this->OnStartClock(entry->second, *reply.worker_clock,
+                       task->last_start_in_flight_at, now);
+  }
   task->is_start_in_flight = false;
   if (is_unanswered || reply.has_unanswered_copy) {
     task->is_start_uncertain = true;
@@ -551,6 +555,9 @@
       }
       continue;
     }
+    if (!worker.is_attached) {
+      continue;
+    }
     // The capacity of a worker may shrink after the assignment.
     const bool exceeds_capacity = !expected_use.FitsIn(worker.report.capacity);
     const bool is_expired =
--- a/libs/cell/src/scheduler_core.h
+++ b/libs/cell/src/scheduler_core.h
@@ -241,6 +241,9 @@
                      const PollReply& reply,
                      TimePoint sent,
                      TimePoint now) -> void;
+  /// Raises the fence of orders to the worker and polls it at once; until then
+  /// nothing that depends on its incarnation is sent there.
+  auto Detach(LiveWorker& worker, TimePoint now) -> void;
   /// `source` names what showed the restart, for the log.
   auto OnNewIncarnation(LiveWorker& worker,
                         std::int64_t born,
@@ -248,6 +251,12 @@
                         TimePoint now) -> void;
   auto UpdateClock(LiveWorker& worker, Milliseconds clock, TimePoint now)
       -> void;
+  /// Takes the clock from an answer to a start sent at that time. A clock that
+  /// went back is a sign of a restart.
+  auto OnStartClock(LiveWorker& worker,
+                    Milliseconds clock,
+                    TimePoint sent,
+                    TimePoint now) -> void;
   /// When all that runs by an order of that time has ended, whichever
   /// incarnation of the worker executed it, unless it did so late.
   auto LongestLeaseEnd(TimePoint sent) const -> TimePoint;
--- a/libs/cell/src/workers.cc
+++ b/libs/cell/src/workers.cc
@@ -25,6 +25,10 @@
 /// A worker's clock may run 2% slow; a twentieth leaves a margin for clock
 /// steps.
 constexpr int kClockErrorDivisor = 20;
+/// A clock that is further behind is that of another incarnation.
+constexpr Milliseconds kClockMargin{200};
+/// A start that is in flight for longer may have been executed and have ended.
+constexpr std::chrono::milliseconds kStartAnswerTime{100};
 /// Fences of one leader, one for each incarnation of a worker that it learns
 /// of.
 constexpr std::uint64_t kFencesPerEpoch = 1 << 20;
@@ -51,6 +55,20 @@
              worker.lease_end + kLeaseMargin;
 }
 
+/// Whether the worker may be another incarnation already, with completions that
+/// an acknowledgement meant for this one would discard.
+auto MayHaveUnseenCompletions(const LiveWorker& worker, TimePoint now) -> bool {
+  return !worker.is_attached || worker.IsSilent() ||
+         worker.start_unanswered_at >= worker.answered_poll_sent_at ||
+         std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                     [now](const auto& entry) {
+                       const auto& task = *entry.second;
+                       return task.is_start_in_flight &&
+                              now - task.last_start_in_flight_at >=
+                                  kStartAnswerTime;
+                     });
+}
+
 auto NoProgressTimeout(const StepSpec& step) -> Duration {
   return std::max<Duration>(kNoProgressTimeout,
                             step.estimate * kNoProgressPercent / kFullPercent);
@@ -112,12 +130,23 @@
   }
 }
 
+auto Scheduler::Core::Detach(LiveWorker& worker, TimePoint now) -> void {
+  worker.fence = this->NextFence();
+  worker.is_attached = false;
+  // Answers to orders with the former fence count for nothing.
+  worker.is_poll_in_flight = false;
+  this->unpolled_workers.insert(worker.report.id);
+  worker.next_poll = now;
+  worker.unattached_lease_end = now + this->options.max_lease +
+                                this->options.max_lease / kClockErrorDivisor;
+}
+
 auto Scheduler::Core::OnNewIncarnation(LiveWorker& worker,
                                        std::int64_t born,
                                        const char* source,
                                        TimePoint now) -> void {
   this->OnWorkerCrashed(worker, now);
-  const auto fence = this->NextFence();
+  this->Detach(worker, now);
   const auto unanswered = std::count_if(
       worker.tasks.begin(), worker.tasks.end(), [](const auto& entry) {
         return entry.second->stage == RunStage::kStarting;
@@ -126,26 +155,18 @@
                 {{"worker", worker.report.id.Text()},
                  {"born", std::to_string(born)},
                  {"former_born", std::to_string(worker.born_unix_ms)},
-                 {"fence", std::to_string(fence)},
+                 {"fence", std::to_string(worker.fence)},
                  {"source", source},
                  {"silent_ms", MillisecondsText(now - worker.clock_at)},
                  {"assigned", std::to_string(worker.tasks.size())},
                  {"unanswered", std::to_string(unanswered)}});
   worker.born_unix_ms = born;
-  worker.fence = fence;
-  worker.is_attached = false;
-  // Answers to orders with the former fence count for nothing.
-  worker.is_poll_in_flight = false;
   worker.unanswered_polls = 0;
-  this->unpolled_workers.insert(worker.report.id);
   worker.completions_seen = 0;
   worker.completions_stored = 0;
   worker.completions_acknowledged = 0;
   worker.lease_end = Milliseconds::zero();
-  worker.next_poll = now;
   worker.pace = WorkerPace();  // The new incarnation may be on another machine.
-  worker.unattached_lease_end = now + this->options.max_lease +
-                                this->options.max_lease / kClockErrorDivisor;
   // Assignments that were not sent are for the capacity and the kind of the
   // earlier incarnation.
   std::vector<LiveTask*> unsent;
@@ -182,6 +203,24 @@
   worker.clock_at = now;
 }
 
+auto Scheduler::Core::OnStartClock(LiveWorker& worker,
+                                   Milliseconds clock,
+                                   TimePoint sent,
+                                   TimePoint now) -> void {
+  const auto expected = worker.ClockAtLeast(sent);
+  if (!worker.is_attached || clock >= expected - kClockMargin) {
+    this->UpdateClock(worker, clock, now);
+    return;
+  }
+  this->Detach(worker, now);
+  this->AddNote(Event::kWorkerClockWentBack,
+                {{"worker", worker.report.id.Text()},
+                 {"clock_ms", std::to_string(clock.count())},
+                 {"expected_ms", std::to_string(expected.count())},
+                 {"fence", std::to_string(worker.fence)},
+                 {"assigned", std::to_string(worker.tasks.size())}});
+}
+
 auto Scheduler::Core::ExtendLease(LiveWorker& worker, TimePoint now)
     -> Milliseconds {
   const auto until = worker.ClockAtMost(now) + this->options.lease;
@@ -258,6 +297,7 @@
     return;
   }
   worker.born_unix_ms = born;
+  worker.answered_poll_sent_at = sent;
   this->UpdateClock(worker, reply.worker_clock, now);
   const bool has_ended_unseen = std::any_of(
       worker.tasks.begin(), worker.tasks.end(), [born](const auto& entry) {
@@ -523,13 +563,12 @@
     }
     PollOrder order;
     order.target = this->TargetOf(worker);
-    // Until it answers again, the worker may be another incarnation, whose
-    // completions must not be discarded unseen. For the same reason nothing is
-    // acknowledged twice: a poll may be executed late.
-    const bool is_acknowledged =
-        worker.completions_stored <= worker.completions_acknowledged;
-    order.acknowledged =
-        worker.IsSilent() || is_acknowledged ? 0 : worker.completions_stored;
+    // Nothing is acknowledged twice: a poll may be executed late.
+    const bool is_due =
+        worker.completions_stored > worker.completions_acknowledged;
+    order.acknowledged = is_due && !MayHaveUnseenCompletions(worker, now)
+                             ? worker.completions_stored
+                             : 0;
     // The worker's clock is unknown before its first answer.
     if (may_renew && worker.is_attached && !worker.IsSilent()) {
       order.lease_until = this->ExtendLease(worker, now);
