Test that a start in flight is covered by the longest lease

Two rows of an_unnoticed_restart_is_covered_by_the_longest_lease play a start whose answer is still due.

--- a/libs/cell/tests/silent_worker_test.cc
+++ b/libs/cell/tests/silent_worker_test.cc
@@ -108,7 +108,7 @@
 
 struct LapseCase {
   const char* name;
-  OrderOutcome answer;  ///< To the start.
+  std::optional<OrderOutcome> answer;  ///< To the start.
   std::optional<Milliseconds> clock;
   milliseconds silence;
   bool is_lost;
@@ -124,6 +124,8 @@
       {"unanswered", OrderOutcome::kNoAnswer, std::nullopt, seconds(9), false},
       {"unanswered, for longer", OrderOutcome::kNoAnswer, std::nullopt,
        seconds(12), true},
+      {"in flight", std::nullopt, std::nullopt, seconds(9), false},
+      {"in flight, for longer", std::nullopt, std::nullopt, seconds(12), true},
       {"confirmed by a clock that started anew", OrderOutcome::kDone,
        seconds(1), seconds(9), false},
       {"confirmed by a clock that started anew, for longer",
@@ -135,8 +137,10 @@
       cell.scheduler.OnJob(cell.Job("a", 1, 1000), {}, cell.clock.Now());
       const auto starts = cell.Starts();
       BOOST_REQUIRE(starts.size() == 1);
-      cell.scheduler.OnStartReply(
-          starts[0], {test_case.answer, test_case.clock}, cell.clock.Now());
+      if (test_case.answer) {
+        cell.scheduler.OnStartReply(
+            starts[0], {*test_case.answer, test_case.clock}, cell.clock.Now());
+      }
       cell.LeaveUnanswered(cell.PollOrderFor("w1"));
       cell.StartsWithin(test_case.silence,
                         SilentWorkerCell::Polls::kUnanswered);
