--- a/review/standin-3/cell.cc
+++ b/review/standin-3/cell.cc
@@ -78,7 +78,7 @@
   }
 }
 
-auto Cell::AddMinions(int count) -> void {
+auto Cell::AddMinions(int count, int first_of_kind_b) -> void {
   const auto cpu_of = [this](const std::string& job) {
     const std::lock_guard lock(this->cpu_mutex);
     const auto found = this->cpu_of_jobs.find(job);
@@ -88,7 +88,8 @@
     char id[16];
     std::snprintf(id, sizeof(id), "i-%08x", 0x7f3a0000 + i);
     const auto rack = "r1-" + std::to_string(i / kMinionsPerRack + 1);
-    this->minions.Add({id, rack}, cpu_of);
+    const bool is_b = first_of_kind_b >= 0 && i >= first_of_kind_b;
+    this->minions.Add({id, rack, is_b ? "b" : "a"}, cpu_of);
   }
   this->minions.Run();
 }
@@ -223,6 +224,9 @@
   if (job.step.gang) {
     step["gang"] = true;
   }
+  if (!job.step.required_kind.empty()) {
+    step["requires"] = job.step.required_kind;
+  }
   if (job.step.lasts) {
     step["longRunning"] = true;
   }
--- a/review/standin-3/cell.h
+++ b/review/standin-3/cell.h
@@ -29,6 +29,7 @@
   int estimate_ms = 1000;
   bool gang = false;
   bool lasts = false;
+  std::string required_kind;  ///< Empty if any will do.
 };
 
 /// What a client handed in.
@@ -54,7 +55,7 @@
   auto operator=(const Cell&) -> Cell& = delete;
 
   /// Adds minions, six to a rack.
-  auto AddMinions(int count) -> void;
+  auto AddMinions(int count, int first_of_kind_b = -1) -> void;
   /// Starts the daemons and waits until they are ready. Exits with 2 if they
   /// are not.
   auto StartDaemons(int count) -> void;
--- a/review/standin-3/minions.cc
+++ b/review/standin-3/minions.cc
@@ -82,7 +82,7 @@
                {{"cpu", this->options.cpu},
                 {"memMb", this->options.memory_mb},
                 {"gpu", 0}}},
-              {"labels", {"a", this->options.rack}},
+              {"labels", {this->options.kind, this->options.rack}},
               {"clockMs", this->ClockMs()},
               {"born", this->life.born},
               {"seq", ++this->life.seq}}
@@ -213,6 +213,7 @@
     return this->Answer(409, {{"reason", "old"}});
   }
   this->begun.insert(JobOf(task));
+  this->starts++;
   this->life.running.push_back(
       {task, number, ReadPlan(body.value("spec", "{}")), SystemClock().Now()});
   return this->Answer(200, Json::object());
@@ -337,6 +338,11 @@
   return this->begun.contains(job);
 }
 
+auto Minion::CountStarts() -> int {
+  const std::lock_guard lock(this->mutex);
+  return this->starts;
+}
+
 auto Minion::EndsOf(const std::string& job, const std::string& how) -> int {
   const std::lock_guard lock(this->mutex);
   const auto found = this->ends.find({job, how});
@@ -432,6 +438,14 @@
   return count;
 }
 
+auto Minions::CountStarts() -> int {
+  int count = 0;
+  for (const auto& minion : this->all) {
+    count += minion->CountStarts();
+  }
+  return count;
+}
+
 auto Minions::HasBegun(const std::string& job) -> bool {
   return std::any_of(this->all.begin(), this->all.end(),
                      [&](const auto& one) { return one->HasBegun(job); });
--- a/review/standin-3/minions.h
+++ b/review/standin-3/minions.h
@@ -48,6 +48,7 @@
 struct MinionOptions {
   std::string id;
   std::string rack = "r1-1";
+  std::string kind = "a";
   int cpu = 16'000;
   int memory_mb = 32'768;
 };
@@ -82,6 +83,8 @@
   auto Cpu() const -> int { return this->options.cpu; }
   /// Whether a task of the job was ever started here.
   auto HasBegun(const std::string& job) -> bool;
+  /// Runs that were started here.
+  auto CountStarts() -> int;
   /// Runs of the job that ended in that way.
   auto EndsOf(const std::string& job, const std::string& how) -> int;
 
@@ -128,6 +131,7 @@
   Life life;
   std::map<std::pair<std::string, std::string>, int> ends;
   std::set<std::string> begun;  ///< Jobs.
+  int starts = 0;
   std::unique_ptr<http::Server> server;
 };
 
@@ -154,6 +158,7 @@
   auto CountFits(int cpu) -> int;
   auto EndsOf(const std::string& job, const std::string& how) -> int;
   auto HasBegun(const std::string& job) -> bool;
+  auto CountStarts() -> int;
 
  private:
   adapter::StoreStandin& store;
