--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,7 +9,7 @@
 g++ -std=c++20 -O1 -o "$out/scene.new" \
   -Ireview/standin-3 -Iplatform/tests/standin -Itests/system \
   -Ilibs/http/include -Ilibs/base/include -Ilibs/json/include \
-  review/standin-3/*.cc platform/tests/standin/store_standin.cc \
+  review/standin-3/*.cpp platform/tests/standin/store_standin.cc \
   tests/system/child_process.cc \
   target/libs/http/libhttp.a target/libs/base/libbase.a target/libs/json/libjson.a \
   "${flags[@]}" -llog4cplus -lpthread
--- a/review/standin-3/cell.cc
+++ b/review/standin-3/cell.cpp
@@ -1,4 +1,4 @@
-#include "cell.h"
+#include "cell.hpp"
 
 #include <unistd.h>
 
--- a/review/standin-3/cell.h
+++ b/review/standin-3/cell.hpp
@@ -7,7 +7,7 @@
 
 #include "child_process.h"
 #include "http/client.h"
-#include "minions.h"
+#include "minions.hpp"
 
 namespace shallotbank::review {
 
--- a/review/standin-3/minions.cc
+++ b/review/standin-3/minions.cpp
@@ -1,4 +1,4 @@
-#include "minions.h"
+#include "minions.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/review/standin-3/scene.cc
+++ b/review/standin-3/scene.cpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/process.h"
-#include "cell.h"
+#include "cell.hpp"
 
 namespace shallotbank::review {
 namespace {
