--- a/review/standin-3/scene.cpp
+++ b/review/standin-3/scene.cpp
@@ -357,6 +357,9 @@
   if (name == "clock-step") {
     return PlayClockStep(folder);
   }
+  if (name == "lost-rack") {
+    return PlayLostRack(folder);
+  }
   if (name == "crash-loop") {
     return PlayCrashLoop(folder);
   }
