--- a/review/standin-3/cell.cpp
+++ b/review/standin-3/cell.cpp
@@ -224,6 +224,9 @@
   if (job.step.gang) {
     step["gang"] = true;
   }
+  if (job.step.anti_affinity > 0) {
+    step["antiAffinity"] = job.step.anti_affinity;
+  }
   if (!job.step.required_kind.empty()) {
     step["requires"] = job.step.required_kind;
   }
@@ -272,18 +275,21 @@
           job.step.count - this->minions.EndsOf(job.id, "done");
       const bool waits =
           has_room && missing > 0 && this->minions.CountRunning(job.id) == 0 &&
-          this->minions.CountFits(job.step.cpu) >= kTwiceOver * missing;
+          this->minions.CountFits(job.step.cpu, job.step.required_kind) >=
+              kTwiceOver * missing;
       const auto now = this->record.Elapsed();
       if (!waits) {
         since.erase(job.id);
       } else if (now - since.try_emplace(job.id, now).first->second >= kSpan &&
                  left.emplace(job.id, job).second) {
-        this->record.Add(
-            "check: job " + job.id + " has had nothing running for 3 s, " +
-            std::to_string(this->minions.UsedCpu()) + " of " +
-            std::to_string(this->minions.TotalCpu()) +
-            " thousandths of a core are in use, its task fits " +
-            std::to_string(this->minions.CountFits(job.step.cpu)) + " times");
+        this->record.Add("check: job " + job.id +
+                         " has had nothing running for 3 s, " +
+                         std::to_string(this->minions.UsedCpu()) + " of " +
+                         std::to_string(this->minions.TotalCpu()) +
+                         " thousandths of a core are in use, its task fits " +
+                         std::to_string(this->minions.CountFits(
+                             job.step.cpu, job.step.required_kind)) +
+                         " times");
       }
     }
     std::this_thread::sleep_for(kSample);
--- a/review/standin-3/cell.hpp
+++ b/review/standin-3/cell.hpp
@@ -30,6 +30,7 @@
   bool gang = false;
   bool lasts = false;
   std::string required_kind;  ///< Empty if any will do.
+  int anti_affinity = 0;
 };
 
 /// What a client handed in.
--- a/review/standin-3/minions.cpp
+++ b/review/standin-3/minions.cpp
@@ -422,10 +422,12 @@
   return total;
 }
 
-auto Minions::CountFits(int cpu) -> int {
+auto Minions::CountFits(int cpu, const std::string& kind) -> int {
   int fits = 0;
   for (const auto& minion : this->all) {
-    fits += minion->IsUp() ? (minion->Cpu() - minion->UsedCpu()) / cpu : 0;
+    if (minion->IsUp() && (kind.empty() || kind == minion->Kind())) {
+      fits += (minion->Cpu() - minion->UsedCpu()) / cpu;
+    }
   }
   return fits;
 }
--- a/review/standin-3/minions.hpp
+++ b/review/standin-3/minions.hpp
@@ -65,7 +65,7 @@
   auto operator=(const Minion&) -> Minion& = delete;
 
   auto Id() const -> const std::string& { return this->options.id; }
-  auto Rack() const -> const std::string& { return this->options.rack; }
+  auto Kind() const -> const std::string& { return this->options.kind; }
   /// Its entry in the list of minions; empty while it is down.
   auto Entry() -> std::string;
   /// Ends everything that runs, closes all connections and refuses new ones.
@@ -154,8 +154,9 @@
   auto CountRunning(const std::string& job) -> int;
   auto UsedCpu() -> std::int64_t;
   auto TotalCpu() -> std::int64_t;
-  /// Tasks of that demand that fit beside what runs.
-  auto CountFits(int cpu) -> int;
+  /// Tasks of that demand that fit beside what runs on the minions of that
+  /// kind; of any kind if it is empty.
+  auto CountFits(int cpu, const std::string& kind) -> int;
   auto EndsOf(const std::string& job, const std::string& how) -> int;
   auto HasBegun(const std::string& job) -> bool;
   auto CountStarts() -> int;
--- a/review/standin-3/scene.cpp
+++ b/review/standin-3/scene.cpp
@@ -3,15 +3,13 @@
 /// if it held, and 2 if the case could not run.
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <numeric>
-#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "base/process.h"
 #include "cell.hpp"
 
 namespace shallotbank::review {
@@ -62,72 +60,6 @@
   return left.empty() ? kHeld : kBroken;
 }
 
-/// LOST: a gang that fits nowhere, and patient jobs of a later priority.
-auto PlayHopelessGang(const std::string& folder) -> int {
-  Cell cell(folder, SmallQueues());
-  cell.AddMinions(kMinions);
-  cell.StartDaemons(kDaemons);
-  std::vector<Job> jobs;
-  constexpr int kJobs = 40;
-  constexpr int kHopelessAt = 10;
-  for (int i = 0; i < kJobs; i++) {
-    if (i == kHopelessAt && HasTrouble()) {
-      Job job{cell.NextId(), &cell.QueueAt(0)};
-      job.step = {8, 17'000, 6400, 12'000, true, false};
-      cell.Submit(job, Work(12'000));
-    }
-    Job job{cell.NextId(), &cell.QueueAt(1)};
-    job.step = {4, 1000, 1400, 2700, false, false};
-    jobs.push_back(cell.Submit(job, Work(2700)));
-    if (!jobs.back().is_accepted) {
-      return kCannotRun;
-    }
-    std::this_thread::sleep_for(milliseconds(200));
-  }
-  return Judge(cell, jobs);
-}
-
-/// LOST: two lasting jobs whose tasks fail after each start, among plain jobs.
-auto PlayCrashLoop(const std::string& folder) -> int {
-  constexpr milliseconds kPause(500);
-  constexpr std::size_t kHopelessAt = 20;
-  constexpr int kHopelessJobs = 2;
-  constexpr std::size_t kFewestJobs = 60;
-  constexpr std::size_t kMostJobs = 160;
-  /// The clients end the traffic once nothing of theirs was started for so
-  /// long.
-  constexpr std::size_t kUnstartedJobs = 20;
-  Cell cell(folder, SmallQueues());
-  cell.AddMinions(kMinions);
-  cell.StartDaemons(kDaemons);
-  std::vector<Job> jobs;
-  std::size_t unstarted = 0;
-  while (
-      jobs.size() < kFewestJobs ||
-      (HasTrouble() && unstarted < kUnstartedJobs && jobs.size() < kMostJobs)) {
-    for (int i = 0; jobs.size() == kHopelessAt && i < kHopelessJobs; i++) {
-      Job job{cell.NextId(), &cell.QueueAt(1)};
-      job.step = {8, 1000, 1400, 2700, false, true};
-      if (HasTrouble()) {
-        cell.Submit(job, Work(200, R"(,"lasts":true,"fails":true)"));
-      }
-    }
-    Job job{cell.NextId(), &cell.QueueAt(1)};
-    job.step = {4, 1000, 1400, 2700, false, false};
-    jobs.push_back(cell.Submit(job, Work(2700)));
-    if (!jobs.back().is_accepted) {
-      return kCannotRun;
-    }
-    std::this_thread::sleep_for(kPause);
-    unstarted = 0;
-    while (unstarted < jobs.size() &&
-           !cell.minions.HasBegun(jobs[jobs.size() - 1 - unstarted].id)) {
-      unstarted++;
-    }
-  }
-  return Judge(cell, jobs);
-}
-
 /// LOST: a task that lasts loses its minion while batch jobs fill the service.
 auto PlayLastingTask(const std::string& folder) -> int {
   constexpr int kFewMinions = 12;
@@ -200,78 +132,6 @@
   return longest >= kSpan && starts_meanwhile >= kTwiceOver ? kBroken : kHeld;
 }
 
-/// LOST: waves of crashed minions, and short jobs none of whose runs fails.
-auto PlayCrashWaves(const std::string& folder) -> int {
-  constexpr milliseconds kPause(20);
-  constexpr seconds kTraffic(50);
-  constexpr int kWaves = 40;
-  constexpr std::size_t kCrashed = 6;  ///< Of 48: less than a share of 0.14.
-  constexpr milliseconds kDown(500);
-  Cell cell(folder, SmallQueues());
-  cell.AddMinions(kMinions);
-  cell.StartDaemons(kDaemons);
-  std::vector<Job> jobs;
-  const auto begin = cell.record.Elapsed();
-  std::thread load([&] {
-    while (cell.record.Elapsed() - begin < kTraffic) {
-      Job job{cell.NextId(), &cell.QueueAt(2)};
-      job.step = {8, 1400, 1000, 1000, false, false};
-      jobs.push_back(cell.Submit(job, Work(1000)));
-      std::this_thread::sleep_for(kPause);
-    }
-  });
-  std::this_thread::sleep_for(seconds(2));
-  std::mt19937 random(1);
-  for (int wave = 0; HasTrouble() && wave < kWaves; wave++) {
-    std::vector<std::size_t> order(cell.minions.Size());
-    std::iota(order.begin(), order.end(), 0);
-    std::shuffle(order.begin(), order.end(), random);
-    order.resize(kCrashed);
-    std::vector<std::thread> crashes;
-    for (const auto index : order) {
-      crashes.emplace_back([&cell, kDown, index] {
-        auto& minion = cell.minions.At(index);
-        minion.Crash();
-        std::this_thread::sleep_for(kDown);
-        minion.Start();
-        cell.minions.Beat(minion);
-      });
-    }
-    for (auto& crash : crashes) {
-      crash.join();
-    }
-    // The pause is 0.2 to 0.9 s long.
-    std::this_thread::sleep_for(milliseconds(200 + random() % 700));
-  }
-  load.join();
-  cell.record.Add("the traffic ends");
-  std::this_thread::sleep_for(Cell::kFinish);
-  int accepted = 0;
-  int completed = 0;
-  int without_cause = 0;
-  for (const auto& job : jobs) {
-    if (!job.is_accepted) {
-      continue;
-    }
-    accepted++;
-    const auto state = cell.StateOf(job);
-    completed += state == "completed" ? 1 : 0;
-    if (state == "failed" && cell.minions.EndsOf(job.id, "failed") == 0) {
-      without_cause++;
-      cell.record.Add("check: job " + job.id +
-                      " is shown as failed, none of its runs ended so, " +
-                      std::to_string(cell.minions.EndsOf(job.id, "crash")) +
-                      " were lost in crashes");
-    }
-  }
-  const auto text = std::to_string(accepted) + " jobs accepted, " +
-                    std::to_string(completed) + " completed, " +
-                    std::to_string(without_cause) + " failed without cause";
-  cell.record.Add("result: " + text);
-  std::printf("%s\n", text.c_str());
-  return without_cause > 0 ? kBroken : kHeld;
-}
-
 /// LOST: a minion that starts again while its time of day is stepped back.
 auto PlayClockStep(const std::string& folder) -> int {
   constexpr milliseconds kStep(2000);
@@ -310,59 +170,56 @@
   return Judge(cell, {job, filler});
 }
 
-/// LOST: a rack with the only minions of a kind is lost for good, and jobs for
-/// any minion come beside those for that kind.
-auto PlayLostRack(const std::string& folder) -> int {
-  constexpr int kRack = 6;
-  constexpr milliseconds kPause(40);
-  constexpr seconds kLostAt(5);
-  constexpr seconds kTraffic(35);
-  constexpr int kPlainEvery = 10;
+/// LOST: the estimates of patient tasks are too short by a factor, and minions
+/// of another kind run tasks with good estimates.
+auto PlayShortEstimates(const std::string& folder) -> int {
+  constexpr int kKindB = 18;
+  constexpr int kWorkMs = 60'000;
+  constexpr int kEstimateMs = 20'000;
+  constexpr milliseconds kPause(500);
+  constexpr seconds kVictimsFrom(13);
+  constexpr seconds kTraffic(25);
   Cell cell(folder, SmallQueues());
-  cell.AddMinions(kMinions, kMinions - kRack);
+  cell.AddMinions(kMinions, kMinions - kKindB);
   cell.StartDaemons(kDaemons);
-  std::vector<Job> plain;
+  for (int i = 0; i < 2; i++) {
+    Job patient{cell.NextId(), &cell.QueueAt(0)};
+    patient.step.count = 60;
+    patient.step.estimate_ms = HasTrouble() ? kEstimateMs : kWorkMs;
+    patient.step.required_kind = "a";
+    patient.step.anti_affinity = 2;
+    cell.Submit(patient, Work(kWorkMs));
+  }
+  std::vector<Job> jobs;
   const auto begin = cell.record.Elapsed();
-  bool is_lost = false;
-  for (int i = 0; cell.record.Elapsed() - begin < kTraffic; i++) {
-    if (HasTrouble() && !is_lost && cell.record.Elapsed() - begin > kLostAt) {
-      is_lost = true;
-      for (int one = kMinions - kRack; one < kMinions; one++) {
-        cell.minions.At(static_cast<std::size_t>(one)).Crash();
-      }
-    }
-    Job special{cell.NextId(), &cell.QueueAt(0)};
-    special.step = {1, 1000, 1400, 5000, false, false, "b"};
-    cell.Submit(special, Work(2500));
-    if (i % kPlainEvery == 0) {
+  while (cell.record.Elapsed() - begin < kTraffic) {
+    Job other{cell.NextId(), &cell.QueueAt(1)};
+    other.step.count = kKindB;
+    other.step.required_kind = "b";
+    other.step.anti_affinity = 1;
+    jobs.push_back(cell.Submit(other, Work(1000)));
+    if (cell.record.Elapsed() - begin > kVictimsFrom) {
       Job job{cell.NextId(), &cell.QueueAt(1)};
-      job.step = {4, 1000, 1400, 2700, false, false, ""};
-      plain.push_back(cell.Submit(job, Work(2700)));
+      job.step.count = 4;
+      job.step.estimate_ms = 2700;
+      job.step.required_kind = "a";
+      jobs.push_back(cell.Submit(job, Work(2700)));
     }
     std::this_thread::sleep_for(kPause);
   }
-  return Judge(cell, plain);
+  return Judge(cell, jobs);
 }
 
 auto Play(const std::string& name, const std::string& folder) -> int {
-  if (name == "hopeless-gang") {
-    return PlayHopelessGang(folder);
-  }
   if (name == "lasting-task") {
     return PlayLastingTask(folder);
   }
-  if (name == "crash-waves") {
-    return PlayCrashWaves(folder);
+  if (name == "short-estimates") {
+    return PlayShortEstimates(folder);
   }
   if (name == "clock-step") {
     return PlayClockStep(folder);
   }
-  if (name == "lost-rack") {
-    return PlayLostRack(folder);
-  }
-  if (name == "crash-loop") {
-    return PlayCrashLoop(folder);
-  }
   return kCannotRun;
 }
 
@@ -373,7 +230,7 @@
   if (argc != 3) {
     return 2;
   }
-  shallotbank::BlockStopSignals();
+  std::signal(SIGPIPE, SIG_IGN);
   const int code = shallotbank::review::Play(argv[1], argv[2]);
   std::fflush(nullptr);
   std::_Exit(code);
