--- a/review/standin-3/cell.cpp
+++ b/review/standin-3/cell.cpp
@@ -35,8 +35,15 @@
   auto name =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   this->folder = ::mkdtemp(name.data());
+  this->Configure(7);
+}
+
+auto Cell::Configure(int version, const std::string& removed) -> void {
   auto routes = Json::array();
   for (const auto& queue : this->queues) {
+    if (queue.name == removed) {
+      continue;
+    }
     routes.push_back({{"name", queue.name},
                       {"host", kHost},
                       {"pathPrefix", queue.prefix},
@@ -50,7 +57,7 @@
                       {"public", false}});
   }
   const Json config{
-      {"version", 7},
+      {"version", version},
       {"routes", routes},
       {"services",
        {{{"name", "rotaplans"},
@@ -233,7 +240,12 @@
   if (job.step.lasts) {
     step["longRunning"] = true;
   }
-  const auto body = Json{{"spec", spec}, {"steps", {step}}}.dump();
+  auto steps = Json::array({step});
+  for (int i = 1; i < job.step.repeats; i++) {
+    step["dependsOn"] = Json::array({i - 1});
+    steps.push_back(step);
+  }
+  const auto body = Json{{"spec", spec}, {"steps", steps}}.dump();
   for (int attempt = 0; attempt < kAttempts && !job.is_accepted; attempt++) {
     const auto host = this->next_host++ % this->daemons.size();
     const auto reply =
@@ -271,8 +283,8 @@
     const bool has_room =
         2 * this->minions.UsedCpu() < this->minions.TotalCpu();
     for (const auto& job : jobs) {
-      const auto missing =
-          job.step.count - this->minions.EndsOf(job.id, "done");
+      const auto missing = job.step.count * job.step.repeats -
+                           this->minions.EndsOf(job.id, "done");
       const bool waits =
           has_room && missing > 0 && this->minions.CountRunning(job.id) == 0 &&
           this->minions.CountFits(job.step.cpu, job.step.required_kind) >=
--- a/review/standin-3/cell.hpp
+++ b/review/standin-3/cell.hpp
@@ -31,6 +31,7 @@
   bool lasts = false;
   std::string required_kind;  ///< Empty if any will do.
   int anti_affinity = 0;
+  int repeats = 1;  ///< Steps like this one, each after the one before.
 };
 
 /// What a client handed in.
@@ -55,6 +56,8 @@
   Cell(const Cell&) = delete;
   auto operator=(const Cell&) -> Cell& = delete;
 
+  /// Puts the config into the store, without one of the queues if it is named.
+  auto Configure(int version, const std::string& removed = "") -> void;
   /// Adds minions, six to a rack.
   auto AddMinions(int count, int first_of_kind_b = -1) -> void;
   /// Starts the daemons and waits until they are ready. Exits with 2 if they
--- a/review/standin-3/scene.cpp
+++ b/review/standin-3/scene.cpp
@@ -210,6 +210,31 @@
   return Judge(cell, jobs);
 }
 
+/// LOST: a queue is taken out of the config while jobs of it are under way.
+auto PlayRemovedQueue(const std::string& folder) -> int {
+  constexpr int kJobs = 20;
+  constexpr milliseconds kPause(250);
+  constexpr seconds kAfterChange(5);
+  Cell cell(folder, SmallQueues());
+  cell.AddMinions(kMinions);
+  cell.StartDaemons(kDaemons);
+  std::vector<Job> jobs;
+  for (int i = 0; i < kJobs; i++) {
+    Job job{cell.NextId(), &cell.QueueAt(1)};
+    job.step.count = 4;
+    job.step.estimate_ms = 2700;
+    job.step.repeats = 2;
+    jobs.push_back(cell.Submit(job, Work(2700)));
+    if (!jobs.back().is_accepted) {
+      return kCannotRun;
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+  cell.Configure(12, HasTrouble() ? cell.QueueAt(1).name : "");
+  std::this_thread::sleep_for(kAfterChange);
+  return Judge(cell, jobs);
+}
+
 auto Play(const std::string& name, const std::string& folder) -> int {
   if (name == "lasting-task") {
     return PlayLastingTask(folder);
@@ -217,6 +242,9 @@
   if (name == "short-estimates") {
     return PlayShortEstimates(folder);
   }
+  if (name == "removed-queue") {
+    return PlayRemovedQueue(folder);
+  }
   if (name == "clock-step") {
     return PlayClockStep(folder);
   }
