Keep hosts that have fallen behind from starving each other's reads

Callers saw a large cell stop for good: from one moment on nearly every call was answered 503, accepted jobs stood still, and new routes and keys were answered 404 and 401 long after they were in force, while the store was up.

Cause: all hosts share the store's bandwidth for reads. A host that had fallen behind asked for up to 1 MiB at once (the store's default) and gave the read up after 1.5 s, as it did with the small reads beside it. Once enough hosts were behind, no read of any topic was answered in time. A read that is given up costs the store as much as one that is answered, and the next one asked for the same bytes again, often also through a peer, so nothing ended this after the load had gone.

Change: a follower limits its reads to a window (64 KiB at first, 16 to 256 KiB) that shrinks with slow and unanswered reads, and reads on at once until the end of the topic. A second copy of a call is not relayed for a while after the store has left relayed calls unanswered too. New events topic-behind and topic-caught-up and counters of the bytes, failures and times of reads tell a slow store from a host that cannot follow.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -37,6 +37,9 @@
 /// exiting.
 constexpr std::chrono::milliseconds kExitMargin(1200);
 constexpr std::chrono::milliseconds kLeaderAppendTimeout(800);
+/// Timeout of the small read that measures the round trip to the store. Well
+/// above the longest latency that decides about leadership.
+constexpr std::chrono::milliseconds kLatencyProbeTimeout(1500);
 constexpr std::chrono::milliseconds kSignalPollInterval(200);
 /// A host that has not read the jobs topic for this long fails its health
 /// check, so that callers are sent to other hosts.
@@ -87,7 +90,7 @@
       configuration_topic(
           this->runtime,
           this->store,
-          adapter::kConfigurationTopic,
+          kFollowedConfiguration,
           Duration::zero(),
           {[this](const auto& records) {
              for (const auto& record : records) {
@@ -101,7 +104,7 @@
       workers_topic(
           this->runtime,
           this->store,
-          adapter::kWorkersTopic,
+          kFollowedWorkers,
           kWorkersReadDelay,
           {[this](const auto& records) { this->workers.OnSnapshot(records); },
            [this](const auto& record) { this->workers.OnRecord(record); },
@@ -111,7 +114,7 @@
       jobs_topic(
           this->runtime,
           this->store,
-          kJobsTopic,
+          kFollowedJobs,
           Duration::zero(),
           {[this](const auto& records) { this->OnJobsSnapshot(records); },
            [this](const auto& record) { this->OnJobRecord(record); },
@@ -122,7 +125,7 @@
       progress_topic(
           this->runtime,
           this->store,
-          kProgressTopic,
+          kFollowedProgress,
           ProgressReadDelay(ProgressRole::kFollower, Duration::max()),
           {[this](const auto& records) {
              for (const auto& record : records) {
@@ -136,7 +139,7 @@
       leader_topic(
           this->runtime,
           this->store,
-          kLeaderTopic,
+          kFollowedLeader,
           Duration::zero(),
           {[this](const auto& records) {
              for (const auto& record : records) {
@@ -159,7 +162,7 @@
            }}),
       hosts_topic(this->runtime,
                   this->store,
-                  kHostsTopic,
+                  kFollowedHosts,
                   kHostsReadDelay,
                   {[this](const auto& records) {
                      for (const auto& record : records) {
@@ -378,7 +381,8 @@
   this->store.Send(adapter::MakeAppendCall(this->settings.store, request),
                    [](const http::Reply&) {});
   this->store.SendDirect(
-      adapter::MakeSnapshotCall(this->settings.store, kLeaderTopic, ""),
+      adapter::MakeSnapshotCall(this->settings.store, kLeaderTopic, "",
+                                kLatencyProbeTimeout),
       [this, sent = now](const http::Reply& reply) {
         if (reply.IsSuccess()) {
           this->policy.RecordStoreLatency(this->runtime.clock.Now() - sent);
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -24,9 +24,12 @@
 constexpr std::chrono::milliseconds kRelayedAnswerValidity(600);
 /// The store counts as unreachable after failures on every path for this time.
 constexpr std::chrono::milliseconds kUnreachableAfter(700);
-/// After the store has refused a call through a peer as well, refused calls are
-/// not relayed for this time.
+/// After the store has refused a call through a peer as well, or left it
+/// unanswered, it is busy for all hosts. Calls that it refuses or leaves
+/// unanswered are then not sent a second time, through a peer, for this time.
+/// It doubles while relayed calls keep failing.
 constexpr std::chrono::milliseconds kRelayBackoff(1000);
+constexpr std::chrono::milliseconds kMaxRelayBackoff(8000);
 /// Without any direct answer for this time, calls in flight try a second path.
 /// Above the interval between answers of a slow store: even then some call
 /// completes sooner.
@@ -107,7 +110,8 @@
   pending->call = std::move(call);
   pending->done = std::move(done);
   pending->sent = now;
-  if (this->IsDirectPathSuspect(now) && this->TryPeer(pending, false)) {
+  if (this->IsDirectPathSuspect(now) &&
+      this->TryPeer(pending, RelayReason::kDirectPathSuspect)) {
     return;
   }
   this->TryDirect(pending);
@@ -124,25 +128,21 @@
 }
 
 auto StoreGateway::TryPeer(const std::shared_ptr<PendingCall>& pending,
-                           bool is_refused) -> bool {
+                           RelayReason reason) -> bool {
   const auto now = this->runtime.clock.Now();
   const auto reachable = this->peers.Reachable(now);
   if (pending->has_tried_peer || reachable.empty() ||
-      (is_refused && now < this->relay_backoff_until)) {
+      (reason == RelayReason::kSecondCopy && now < this->relay_backoff_until)) {
     return false;
   }
   pending->has_tried_peer = true;
   pending->paths_in_flight++;
   this->runtime.metrics.Add("store_calls_relayed_total");
   const auto& endpoint = reachable[this->next_peer++ % reachable.size()];
-  this->SendViaPeer(
-      endpoint, pending->call, [this, pending](const auto& reply) {
-        if (reply.verdict == Verdict::kRan && !IsConclusive(reply)) {
-          this->relay_backoff_until = this->runtime.clock.Now() + kRelayBackoff;
-        }
-        if (IsConclusive(reply)) {
-          this->last_relayed_answer = this->runtime.clock.Now();
-        }
+  this->SendRelayed(
+      endpoint, pending->call,
+      [this, pending](const http::Reply& reply, bool has_peer_tried) {
+        this->RecordRelayedOutcome(reply, has_peer_tried);
         this->OnReply(pending, reply, /*is_direct=*/false);
       });
   return true;
@@ -174,7 +174,7 @@
   pending->has_unanswered_copy =
       pending->has_unanswered_copy || reply.HasUnansweredCopy();
   if (pending->paths_in_flight > 0 ||
-      this->TryPeer(pending, reply.verdict == Verdict::kRan)) {
+      this->TryPeer(pending, RelayReason::kSecondCopy)) {
     return;
   }
   pending->is_completed = true;
@@ -196,6 +196,22 @@
   }
 }
 
+auto StoreGateway::RecordRelayedOutcome(const http::Reply& reply,
+                                        bool has_peer_tried) -> void {
+  const auto now = this->runtime.clock.Now();
+  if (IsConclusive(reply)) {
+    this->last_relayed_answer = now;
+    this->relay_backoff = Duration();
+    return;
+  }
+  // A peer that cannot be reached says nothing about the store.
+  if (has_peer_tried && now >= this->relay_backoff_until) {
+    this->relay_backoff = std::clamp<Duration>(this->relay_backoff * 2,
+                                               kRelayBackoff, kMaxRelayBackoff);
+    this->relay_backoff_until = now + this->relay_backoff;
+  }
+}
+
 auto StoreGateway::IsImpaired(TimePoint now) const -> bool {
   return this->direct_failing_since != TimePoint() &&
          now - this->direct_failing_since > kImpairedAfter &&
@@ -208,7 +224,7 @@
   }
   for (const auto& pending : this->pending_calls) {
     if (!pending->is_completed && now - pending->sent > kDirectResponseLimit &&
-        this->TryPeer(pending, false)) {
+        this->TryPeer(pending, RelayReason::kSecondCopy)) {
       // Counted as a failure, so that later calls try a peer without this wait.
       this->RecordDirectOutcome(false, now);
     }
@@ -235,6 +251,15 @@
 auto StoreGateway::SendViaPeer(const std::string& endpoint,
                                http::Call call,
                                Done done) -> void {
+  this->SendRelayed(endpoint, std::move(call),
+                    [done = std::move(done)](http::Reply reply, bool) {
+                      done(std::move(reply));
+                    });
+}
+
+auto StoreGateway::SendRelayed(const std::string& endpoint,
+                               http::Call call,
+                               RelayDone done) -> void {
   http::Call relayed;
   relayed.method = "POST";
   relayed.url = "http://" + endpoint + kRelayPath;
@@ -250,6 +275,8 @@
                    [done = std::move(done)](http::Reply reply) {
                      const auto* origin =
                          http::FindHeader(reply.headers, kRelayedHeader);
+                     const bool has_peer_tried =
+                         origin != nullptr || reply.status == kStatusBadGateway;
                      if (origin != nullptr && *origin != kRelayedOnce) {
                        reply.send_count++;
                      }
@@ -260,7 +287,7 @@
                                            : Verdict::kMayHaveRun;
                        reply.status = 0;
                      }
-                     done(std::move(reply));
+                     done(std::move(reply), has_peer_tried);
                    });
 }
 
--- a/apps/cell/store_gateway.h
+++ b/apps/cell/store_gateway.h
@@ -60,9 +60,20 @@
   auto IsDirectPathSuspect(TimePoint now) const -> bool;
   auto RecordDirectOutcome(bool is_answered, TimePoint now) -> void;
   auto TryDirect(const std::shared_ptr<PendingCall>& pending) -> void;
+  enum class RelayReason {
+    kDirectPathSuspect,  ///< Sent through the peer only.
+    /// The copy on the direct path was refused or has no answer.
+    kSecondCopy,
+  };
   /// Returns false if the call is not sent through a peer.
-  auto TryPeer(const std::shared_ptr<PendingCall>& pending, bool is_refused)
+  auto TryPeer(const std::shared_ptr<PendingCall>& pending, RelayReason reason)
       -> bool;
+  /// `has_peer_tried` tells whether the peer has made the call itself.
+  using RelayDone = std::function<void(http::Reply, bool has_peer_tried)>;
+  auto SendRelayed(const std::string& endpoint, http::Call call, RelayDone done)
+      -> void;
+  auto RecordRelayedOutcome(const http::Reply& reply, bool has_peer_tried)
+      -> void;
   auto OnReply(const std::shared_ptr<PendingCall>& pending,
                const http::Reply& reply,
                bool is_direct) -> void;
@@ -79,8 +90,9 @@
   TimePoint first_failure;  ///< Since the last success; zero if none.
   bool is_unreachable_logged = false;
   std::size_t next_peer = 0;
-  /// The store also refused a relayed call, so it is busy for all hosts.
+  /// No second copies of calls are relayed until then.
   TimePoint relay_backoff_until;
+  Duration relay_backoff{};  ///< Zero after an answer through a peer.
 };
 
 }  // namespace shallotbank::cell
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -5,7 +5,9 @@
 #include <vector>
 
 #include "adapter/store_calls.h"
+#include "cell/read_window.h"
 #include "store_gateway.h"
+#include "topics.h"
 
 namespace shallotbank::cell {
 
@@ -28,7 +30,7 @@
   /// batches; SetReadDelay changes it.
   TopicFollower(Runtime& runtime,
                 StoreGateway& store,
-                std::string topic,
+                const FollowedTopic& topic,
                 Duration read_delay,
                 Handlers handlers);
 
@@ -44,21 +46,35 @@
   auto LastRead() const -> TimePoint { return this->last_read; }
 
  private:
-  auto ReadSnapshotPage(const std::string& after) -> void;
-  auto OnPage(const adapter::SnapshotPage& page) -> void;
+  auto ReadSnapshotPage() -> void;
+  auto OnPage(const adapter::SnapshotPage& page, bool is_answered) -> void;
   auto ReadNext() -> void;
-  auto OnRecords(const adapter::ReadResult& result) -> void;
+  auto OnRecords(const adapter::ReadResult& result, bool is_answered) -> void;
+  /// Handles the end of a read that brought no records.
+  auto OnReadFailed(bool is_answered) -> void;
+  /// Adapts the size of the next read to the time that this one took.
+  auto UpdateWindow(const adapter::ReadResult& result) -> void;
+  auto OnCaughtUp(TimePoint as_of) -> void;
+  /// Logs once that the topic has not been read to its end for a while.
+  auto ReportIfBehind(TimePoint now) -> void;
   auto Retry() -> void;
 
   Runtime& runtime;
   StoreGateway& store;
-  const std::string topic;
+  const FollowedTopic topic;
   Duration read_delay;
   const Handlers handlers;
   std::vector<adapter::KeyedRecord> snapshot_records;
+  /// Key after which the next page of the snapshot starts; empty for the first.
+  std::string snapshot_after;
+  bool is_snapshot_begun = false;
+  std::chrono::milliseconds page_timeout;
   Offset snapshot_end = 0;
   TimePoint snapshot_started_at;
   Offset position = 0;
+  /// End of the topic according to the last read.
+  Offset known_end = 0;
+  ReadWindow window;
   bool is_tailing = false;
   bool is_caught_up = false;
   bool is_read_in_flight = false;
@@ -66,6 +82,8 @@
   int failures = 0;
   TimePoint next_read;
   TimePoint last_read;
+  TimePoint caught_up_at;
+  bool is_behind_logged = false;
 };
 
 }  // namespace shallotbank::cell
--- a/apps/cell/topics.h
+++ b/apps/cell/topics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "adapter/store_calls.h"
+
 namespace shallotbank::cell {
 
 /// Topics that this system writes. All are compacted: the store keeps the
@@ -9,6 +11,20 @@
 inline constexpr const char* kLeaderTopic = "keyed.leader";
 inline constexpr const char* kHostsTopic = "keyed.hosts";
 
+/// A topic that every host reads.
+struct FollowedTopic {
+  const char* name;   ///< In the store.
+  const char* label;  ///< In counters and log lines.
+};
+inline constexpr FollowedTopic kFollowedConfiguration{
+    adapter::kConfigurationTopic, "configuration"};
+inline constexpr FollowedTopic kFollowedWorkers{adapter::kWorkersTopic,
+                                                "workers"};
+inline constexpr FollowedTopic kFollowedJobs{kJobsTopic, "jobs"};
+inline constexpr FollowedTopic kFollowedProgress{kProgressTopic, "progress"};
+inline constexpr FollowedTopic kFollowedLeader{kLeaderTopic, "leader"};
+inline constexpr FollowedTopic kFollowedHosts{kHostsTopic, "hosts"};
+
 /// Key of all records of the leadership topic.
 inline constexpr const char* kLeaderKey = "leader";
 /// Producer name under which all leaders write progress; epochs order them.
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -30,6 +30,8 @@
   kProgressSequence = 2006,
   kRecordsReturned = 2007,
   kProgressRefused = 2008,
+  kTopicBehind = 2009,
+  kTopicCaughtUp = 2010,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -45,6 +45,8 @@
     EventEntry{Event::kProgressSequence, Severity::kWarning, "progress-sequence"},
     EventEntry{Event::kRecordsReturned, Severity::kWarning, "records-returned"},
     EventEntry{Event::kProgressRefused, Severity::kError, "progress-refused"},
+    EventEntry{Event::kTopicBehind, Severity::kWarning, "topic-behind"},
+    EventEntry{Event::kTopicCaughtUp, Severity::kInfo, "topic-caught-up"},
     EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
     EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
     EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
