Let most hosts of a large cell read digests instead of the topics

Callers of a cell of 97 hosts saw refusals as stale-view and stale-configuration while the store was up and no host had failed.

Cause: every host read all records of the topics of jobs, progress and workers, although only a leader needs the tasks. The reads grew with hosts x changes and came near the store's bandwidth, so that a burst slowed down all reads, those of the configuration and the leader included.

Change: 16 to 24 hosts are standbys, the largest first. They read the topics as before and keep a digest of them: the state of a job without its tasks, a job without its steps, a worker only when it changes. All other hosts observe: they read these digests from a standby that is not the leader, and the store only if no standby serves them. Cells of up to some 20 hosts are unchanged.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "base/process.h"
+#include "cell/record_digests.h"
 #include "cell/records.h"
 #include "topics.h"
 
@@ -33,6 +34,8 @@
 /// A follower needs new jobs only to answer queries about them, which must work
 /// within 3 s of acceptance.
 constexpr std::chrono::milliseconds kFollowerJobsReadDelay(400);
+/// An observer reads a digest that is up to kFollowerJobsReadDelay old.
+constexpr std::chrono::milliseconds kObserverJobsReadDelay(250);
 /// Part of the grace period that is reserved for closing connections and
 /// exiting.
 constexpr std::chrono::milliseconds kExitMargin(1200);
@@ -86,6 +89,7 @@
                this->process,
                LeadershipPolicy::InitialClaimDelay()),
       policy(this->runtime, this->store, this->peers, this->election),
+      standby(this->runtime, this->peers),
       feed(this->runtime, this->store, this->peers),
       configuration_topic(
           this->runtime,
@@ -110,7 +114,14 @@
            [this](const auto& record) { this->workers.OnRecord(record); },
            [this](Offset, TimePoint as_of) {
              this->workers_caught_up_at = as_of;
-           }}),
+           },
+           [this](const auto& record) {
+             return this->workers.MakeDigest(record);
+           },
+           [this](const DigestRecord& record) {
+             this->workers.OnRecord({record.key, record.value, record.offset});
+           },
+           this->DigestRefused()}),
       jobs_topic(
           this->runtime,
           this->store,
@@ -121,7 +132,15 @@
            [this](Offset, TimePoint as_of) {
              this->jobs_caught_up_at = as_of;
              this->service.SetJobsCaughtUpAt(this->jobs_caught_up_at);
-           }}),
+           },
+           [](const auto& record) {
+             return DigestJobRecord(record.offset, record.key, record.value);
+           },
+           [this](const DigestRecord& record) {
+             this->jobs.OnJobDigest(record.key, record.value,
+                                    this->runtime.clock.Now());
+           },
+           this->DigestRefused()}),
       progress_topic(
           this->runtime,
           this->store,
@@ -135,7 +154,17 @@
            [this](const auto& record) { this->OnProgressRecord(record); },
            [this](Offset, TimePoint as_of) {
              this->service.SetProgressCaughtUpAt(as_of);
-           }}),
+           },
+           [](const auto& record) {
+             return DigestProgressRecord(record.offset, record.key,
+                                         record.value);
+           },
+           [this](const DigestRecord& record) {
+             this->jobs.OnProgressDigest(record.key, record.value,
+                                         record.offset,
+                                         this->runtime.clock.Now());
+           },
+           this->DigestRefused()}),
       leader_topic(
           this->runtime,
           this->store,
@@ -181,10 +210,32 @@
                  if (this->leader) {
                    this->leader->OnCarriedReplies(batch);
                  }
+               },
+               [this](const std::string& topic, Offset from) {
+                 return this->ReadDigest(topic, from);
                }}) {}
 
 CellDaemon::~CellDaemon() = default;
 
+auto CellDaemon::DigestRefused() -> std::function<void(const std::string&)> {
+  return [this](const std::string& source) {
+    this->standby.OnDigestRefused(source, this->runtime.clock.Now());
+  };
+}
+
+auto CellDaemon::ReadDigest(const std::string& topic, Offset from) const
+    -> std::optional<DigestPage> {
+  for (const auto& [label, follower] :
+       {std::pair(kFollowedJobs.label, &this->jobs_topic),
+        std::pair(kFollowedProgress.label, &this->progress_topic),
+        std::pair(kFollowedWorkers.label, &this->workers_topic)}) {
+    if (topic == label) {
+      return follower->ReadDigest(from);
+    }
+  }
+  return std::nullopt;
+}
+
 auto CellDaemon::OnProgressRecord(const adapter::KeyedRecord& record) -> void {
   this->jobs.OnProgressRecord(record.key, record.value, record.offset,
                               this->runtime.clock.Now());
@@ -296,7 +347,7 @@
   if (const auto reason = this->policy.CheckRelease(now)) {
     this->ReleaseLeadership(*reason, now);
   }
-  this->policy.UpdateClaimDelay(now);
+  this->policy.UpdateClaimDelay(this->standby.IsStandby(), now);
   if (const auto append = this->election.NextAppend(now)) {
     this->SendLeaderRecord(*append);
   }
@@ -319,8 +370,8 @@
               {"leader", this->election.LeaderHost()}});
     this->leader.reset();
   }
-  if (epoch == 0 || !this->is_configured || !this->jobs_topic.IsCaughtUp() ||
-      !this->workers_topic.IsCaughtUp() || !this->progress_topic.IsCaughtUp()) {
+  if (epoch == 0 || !this->is_configured || !this->jobs_topic.HasRecords() ||
+      !this->workers_topic.HasRecords() || !this->progress_topic.HasRecords()) {
     return;
   }
   if (!this->leader) {
@@ -402,23 +453,47 @@
     return this->leader->IsScheduling() ? ProgressRole::kLeader
                                         : ProgressRole::kTakingOver;
   }
-  return this->election.IsLeader() ? ProgressRole::kTakingOver
-                                   : ProgressRole::kFollower;
+  if (this->election.IsLeader()) {
+    return ProgressRole::kTakingOver;
+  }
+  return this->standby.IsStandby() ? ProgressRole::kFollower
+                                   : ProgressRole::kObserver;
 }
 
-auto CellDaemon::Tick() -> void {
-  const auto now = this->runtime.clock.Now();
-  this->jobs_topic.SetReadDelay(this->leader ? kLeaderJobsReadDelay
-                                             : kFollowerJobsReadDelay);
-  this->workers_topic.SetReadDelay(this->election.IsLeader()
-                                       ? kWorkersReadDelay
-                                       : kFollowerWorkersReadDelay);
+auto CellDaemon::UpdateReading(TimePoint now) -> void {
+  this->standby.SetLeader(this->peers.EndpointOf(
+      this->election.LeaderHost(), this->election.LeaderProcess(), now));
+  this->standby.Tick(this->hosts_topic.LastRead(), now);
+  this->runtime.metrics.Set("cell_is_standby", this->standby.IsStandby());
+  const bool is_leading = this->leader || this->election.IsLeader();
+  const bool needs_records = is_leading || this->standby.IsStandby();
+  for (auto* topic :
+       {&this->jobs_topic, &this->progress_topic, &this->workers_topic}) {
+    topic->SetDigestSource(needs_records ? ""
+                                         : this->standby.DigestSource(now));
+    if (needs_records) {
+      topic->RequireRecords();
+    }
+  }
+  if (is_leading) {
+    this->jobs_topic.SetReadDelay(kLeaderJobsReadDelay);
+  } else {
+    this->jobs_topic.SetReadDelay(needs_records ? kFollowerJobsReadDelay
+                                                : kObserverJobsReadDelay);
+  }
+  this->workers_topic.SetReadDelay(is_leading ? kWorkersReadDelay
+                                              : kFollowerWorkersReadDelay);
   const bool may_lead =
       this->election.IsLeader() || !this->policy.HasLargerPeer();
   this->hosts_topic.SetReadDelay(may_lead ? kHostsReadDelay
                                           : kSmallHostHostsReadDelay);
   this->progress_topic.SetReadDelay(ProgressReadDelay(
       this->GetProgressRole(), now - this->progress_updated_at));
+}
+
+auto CellDaemon::Tick() -> void {
+  const auto now = this->runtime.clock.Now();
+  this->UpdateReading(now);
   {
     const auto feeding = this->busy.Measure(Duty::kFeeding);
     this->feed.Tick(now);
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,7 @@
 #include "progress_feed.h"
 #include "record_writer.h"
 #include "runtime.h"
+#include "standby_policy.h"
 #include "store_gateway.h"
 #include "topic_follower.h"
 #include "worker_entries.h"
@@ -44,6 +46,10 @@
   auto RunCore() -> void;
   auto Tick() -> void;
   auto GetProgressRole() const -> ProgressRole;
+  /// Sets for each topic whether its records are read, and how often.
+  auto UpdateReading(TimePoint now) -> void;
+  auto ReadDigest(const std::string& topic, Offset from) const
+      -> std::optional<DigestPage>;
   auto TickElection(TimePoint now) -> void;
   auto TickLeader(TimePoint now) -> void;
   auto TickPeers(TimePoint now) -> void;
@@ -62,6 +68,8 @@
   /// Returns the updates that changed a state.
   auto OnProgressUpdates(const std::vector<ProgressUpdate>& updates)
       -> std::vector<ProgressUpdate>;
+  /// Returns the handler of topics whose digest could not be read.
+  auto DigestRefused() -> std::function<void(const std::string&)>;
   auto OnHostRecord(const adapter::KeyedRecord& record) -> void;
   auto OnJobRecord(const adapter::KeyedRecord& record) -> void;
   /// `job` is null if the record for the key changed nothing.
@@ -86,6 +94,7 @@
   WorkerEntries workers;
   Election election;
   LeadershipPolicy policy;
+  StandbyPolicy standby;
   ProgressFeed feed;
   TimePoint progress_updated_at;  ///< When the leader last sent any.
   std::unique_ptr<Leader> leader;
--- a/apps/cell/host_servers.cc
+++ b/apps/cell/host_servers.cc
@@ -1,6 +1,7 @@
 #include "host_servers.h"
 
 #include <algorithm>
+#include <charconv>
 #include <thread>
 #include <utility>
 
@@ -24,6 +25,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 
 }  // namespace
@@ -92,6 +94,8 @@
     this->services.carrier.Handle(request, std::move(responder));
   } else if (request.path == kOrderRepliesPath) {
     this->HandleOrderReplies(request, std::move(responder));
+  } else if (request.path == kDigestPath) {
+    this->HandleDigest(request, std::move(responder));
   } else if (request.path == "/metrics") {
     responder.Send({kOk,
                     {{"Content-Type", "text/plain"}},
@@ -142,6 +146,32 @@
   responder.Send({is_posted ? kOk : kUnavailable, {}, ""});
 }
 
+auto HostServers::HandleDigest(const http::Request& request,
+                               http::Responder responder) -> void {
+  const auto text = request.QueryParameter(kDigestFromParameter);
+  Offset from = 0;
+  const auto [rest, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), from);
+  if (failure != std::errc() || rest != text.data() + text.size()) {
+    responder.Send({kBadRequest, {}, "not an offset"});
+    return;
+  }
+  auto shared = std::make_shared<http::Responder>(std::move(responder));
+  const bool is_posted = this->runtime.loop.Post(
+      [this, shared, topic = request.QueryParameter(kDigestTopicParameter),
+       from] {
+        const auto page = this->services.read_digest(topic, from);
+        if (page) {
+          shared->Send({kOk, {}, EncodeDigestPage(*page)});
+        } else {
+          shared->Send({kGone, {}, "no digest from this offset on"});
+        }
+      });
+  if (!is_posted) {
+    shared->Send({kUnavailable, {}, ""});
+  }
+}
+
 auto HostServers::WaitForBalancer(TimePoint stopped_at) -> void {
   const auto before = this->failed_health_checks.load();
   const auto longest =
--- a/apps/cell/host_servers.h
+++ b/apps/cell/host_servers.h
@@ -4,12 +4,15 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include <boost/leaf.hpp>
 
 #include "base/clock.h"
 #include "cell/order_carriers.h"
 #include "cell/records.h"
+#include "cell/topic_digest.h"
 #include "http/server.h"
 #include "job_service.h"
 #include "order_carrier.h"
@@ -31,6 +34,12 @@
     /// Runs on the core loop, as does `on_replies`.
     std::function<void(const ProgressMessage&)> on_progress;
     std::function<void(const ReplyBatch&)> on_replies;
+    /// Returns a page of the digest of the topic with the given label, or
+    /// nothing if this host keeps none from the offset on. Runs on the core
+    /// loop.
+    std::function<std::optional<DigestPage>(const std::string& topic,
+                                            Offset from)>
+        read_digest;
   };
 
   HostServers(Runtime& runtime, Services services);
@@ -57,6 +66,8 @@
   /// Applies progress updates that the leader sends, and passes them on.
   auto HandleProgressUpdates(const http::Request& request,
                              http::Responder responder) -> void;
+  auto HandleDigest(const http::Request& request, http::Responder responder)
+      -> void;
   /// Passes replies of workers, which a peer has called, to the leader.
   auto HandleOrderReplies(const http::Request& request,
                           http::Responder responder) -> void;
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -154,7 +154,7 @@
   if (!job.is_accepted || IsFinal(job.State())) {
     return;
   }
-  auto spec = DecodeJob(job.spec_bytes);
+  auto spec = job.is_digest ? std::nullopt : DecodeJob(job.spec_bytes);
   JobProgress progress;
   if (!job.progress_bytes.empty()) {
     auto read = DecodeProgress(job.progress_bytes);
--- a/apps/cell/leadership_policy.cc
+++ b/apps/cell/leadership_policy.cc
@@ -14,8 +14,9 @@
 /// jitter.
 constexpr int kClaimDelayFactor = 5;
 constexpr std::chrono::seconds kMinLeadershipTime(3);
-/// A host that knows a much larger one waits this much longer before it claims
-/// leadership, so that the larger one wins from any failure domain.
+/// A host that knows a much larger one, or that is no standby, waits this much
+/// longer before it claims leadership, so that the others win from any failure
+/// domain.
 constexpr std::chrono::milliseconds kSmallHostDelay(300);
 constexpr std::chrono::milliseconds kClaimDelayInterval(100);
 /// If no larger host takes over after a release, this host leads for at least
@@ -85,7 +86,8 @@
          this->distance.IsMuchFartherThan(*best);
 }
 
-auto LeadershipPolicy::UpdateClaimDelay(TimePoint now) -> void {
+auto LeadershipPolicy::UpdateClaimDelay(bool is_standby, TimePoint now)
+    -> void {
   if (now < this->next_claim_delay_update) {
     return;
   }
@@ -94,10 +96,11 @@
       this->peers.HasLargerPeer(this->runtime.host.capacity, now);
   const auto capped_latency = std::min<Duration>(
       this->StoreLatency().value_or(kMaxNormalLatency), kMaxNormalLatency);
-  this->election.SetClaimDelay(
-      capped_latency * kClaimDelayFactor +
-      ClaimSpreadOf(this->runtime.host.host) +
-      (this->has_larger_peer ? Duration(kSmallHostDelay) : Duration()));
+  this->election.SetClaimDelay(capped_latency * kClaimDelayFactor +
+                               ClaimSpreadOf(this->runtime.host.host) +
+                               (this->has_larger_peer || !is_standby
+                                    ? Duration(kSmallHostDelay)
+                                    : Duration()));
 }
 
 }  // namespace shallotbank::cell
--- a/apps/cell/leadership_policy.h
+++ b/apps/cell/leadership_policy.h
@@ -40,8 +40,9 @@
   /// Whether a much larger host is there, which would lead in place of this
   /// one.
   auto HasLargerPeer() const -> bool { return this->has_larger_peer; }
-  /// Updates the claim delay in the election, if that is due.
-  auto UpdateClaimDelay(TimePoint now) -> void;
+  /// Updates the claim delay in the election, if that is due. An observer waits
+  /// for standbys, which need not read the topics first.
+  auto UpdateClaimDelay(bool is_standby, TimePoint now) -> void;
 
  private:
   auto IsPeerNearerToStore(TimePoint now) const -> bool;
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -19,6 +19,13 @@
 /// first timeout, so the timeout doubles until a page arrives.
 constexpr std::chrono::milliseconds kFirstPageTimeout(1500);
 constexpr std::chrono::milliseconds kMaxPageTimeout(12'000);
+/// Above the round trip between two hosts and the time that a small host takes
+/// to answer.
+constexpr std::chrono::milliseconds kDigestTimeout(500);
+/// After a digest could not be read, the topic is read from the store for this
+/// time.
+constexpr std::chrono::milliseconds kDigestRetryDelay(1000);
+constexpr int kStatusOk = 200;
 /// A topic that has not been read to its end for this time is reported. Callers
 /// are refused soon after.
 constexpr std::chrono::milliseconds kReportBehindAfter(2000);
@@ -58,7 +65,10 @@
   if (this->is_read_in_flight || now < this->next_read) {
     return;
   }
-  if (this->is_tailing) {
+  if (this->is_tailing && !this->digest_source.empty() &&
+      now >= this->next_digest_read) {
+    this->ReadNextDigest();
+  } else if (this->is_tailing) {
     this->ReadNext();
   } else if (this->is_snapshot_begun) {
     this->ReadSnapshotPage();
@@ -74,6 +84,40 @@
   this->read_delay = delay;
 }
 
+auto TopicFollower::RequireRecords() -> void {
+  if (this->is_complete || !this->is_tailing) {
+    return;  // Nothing is missing, or a snapshot is being read.
+  }
+  this->is_tailing = false;
+  this->is_read_in_flight = false;
+  this->read_number++;
+  this->next_read = TimePoint();
+}
+
+auto TopicFollower::ReadDigest(Offset from) const -> std::optional<DigestPage> {
+  if (!this->HasRecords()) {
+    return std::nullopt;
+  }
+  auto page = this->digest.Read(from);
+  if (page) {
+    page->age = std::chrono::ceil<std::chrono::milliseconds>(
+        this->runtime.clock.Now() - this->caught_up_as_of);
+  }
+  return page;
+}
+
+auto TopicFollower::BeginRead() -> std::function<bool()> {
+  this->is_read_in_flight = true;
+  this->read_sent_at = this->runtime.clock.Now();
+  return [this, number = ++this->read_number] {
+    if (number != this->read_number) {
+      return false;
+    }
+    this->is_read_in_flight = false;
+    return true;
+  };
+}
+
 auto TopicFollower::Retry() -> void {
   this->failures++;
   this->next_read = this->runtime.clock.Now() +
@@ -89,13 +133,13 @@
 }
 
 auto TopicFollower::ReadSnapshotPage() -> void {
-  this->is_read_in_flight = true;
-  this->read_sent_at = this->runtime.clock.Now();
   this->store.Send(
       adapter::MakeSnapshotCall(this->runtime.host.store, this->topic.name,
                                 this->snapshot_after, this->page_timeout),
-      [this](const http::Reply& reply) {
-        this->is_read_in_flight = false;
+      [this, is_wanted = this->BeginRead()](const http::Reply& reply) {
+        if (!is_wanted()) {
+          return;
+        }
         this->runtime.metrics.Add("topic_read_bytes_total", this->topic.label,
                                   reply.body.size());
         this->OnPage(adapter::ParseSnapshotPage(reply), reply.status != 0);
@@ -124,9 +168,13 @@
   }
   this->page_timeout = kFirstPageTimeout;
   this->is_tailing = true;
+  this->is_complete = true;
   this->is_snapshot_begun = false;
   this->position = this->snapshot_end;
   this->known_end = this->snapshot_end;
+  if (this->handlers.make_digest) {
+    this->digest.Restart(this->position);
+  }
   this->handlers.on_snapshot(std::exchange(this->snapshot_records, {}));
   this->last_read = this->runtime.clock.Now();
   // Records appended while the pages were read may be missing.
@@ -135,13 +183,14 @@
 }
 
 auto TopicFollower::ReadNext() -> void {
-  this->is_read_in_flight = true;
-  this->read_sent_at = this->runtime.clock.Now();
   this->store.Send(
       adapter::MakeReadCall(this->runtime.host.store, this->topic.name,
                             this->position, this->window.Bytes(), kReadWait),
-      [this, from = this->position](const http::Reply& reply) {
-        this->is_read_in_flight = false;
+      [this, from = this->position,
+       is_wanted = this->BeginRead()](const http::Reply& reply) {
+        if (!is_wanted()) {
+          return;
+        }
         this->runtime.metrics.Add("topic_read_bytes_total", this->topic.label,
                                   reply.body.size());
         this->OnRecords(adapter::ParseReadReply(reply, from),
@@ -149,6 +198,55 @@
       });
 }
 
+auto TopicFollower::ReadNextDigest() -> void {
+  http::Call call;
+  call.url = "http://" + this->digest_source + kDigestPath + "?" +
+             kDigestTopicParameter + "=" + this->topic.label + "&" +
+             kDigestFromParameter + "=" + std::to_string(this->position);
+  call.timeout = kDigestTimeout;
+  this->store.SendToPeer(
+      this->digest_source, std::move(call),
+      [this, source = this->digest_source,
+       is_wanted = this->BeginRead()](const http::Reply& reply) {
+        if (is_wanted()) {
+          this->OnDigestReply(source, reply);
+        }
+      });
+}
+
+auto TopicFollower::OnDigestReply(const std::string& source,
+                                  const http::Reply& reply) -> void {
+  const auto now = this->runtime.clock.Now();
+  const auto page =
+      reply.status == kStatusOk ? DecodeDigestPage(reply.body) : std::nullopt;
+  if (!page || page->next < this->position) {
+    this->runtime.metrics.Add("digest_reads_failed_total", this->topic.label);
+    this->next_digest_read = now + kDigestRetryDelay;
+    this->next_read = now;
+    if (reply.status != 0) {
+      this->handlers.on_digest_refused(source);
+    }
+    return;
+  }
+  this->failures = 0;
+  for (const auto& record : page->records) {
+    this->handlers.on_digest(record);
+  }
+  if (page->next > this->position) {
+    this->is_complete = false;
+    this->digest.Clear();
+  }
+  this->position = page->next;
+  this->known_end = std::max(this->position, page->end);
+  this->last_read = now;
+  if (this->position < page->end) {
+    this->next_read = now;
+    return;
+  }
+  this->OnCaughtUp(this->read_sent_at - page->age);
+  this->next_read = now + this->read_delay;
+}
+
 auto TopicFollower::UpdateWindow(const adapter::ReadResult& result) -> void {
   if (result.records.empty()) {
     if (result.end > this->position) {
@@ -182,8 +280,12 @@
   this->UpdateWindow(result);
   for (const auto& record : result.records) {
     this->position = record.offset + 1;
-    if (!record.key.empty()) {
-      this->handlers.on_record(record);
+    if (record.key.empty()) {
+      continue;
+    }
+    this->handlers.on_record(record);
+    if (this->handlers.make_digest && this->is_complete) {
+      this->digest.Append(record.offset, this->handlers.make_digest(record));
     }
   }
   this->known_end = result.end;
@@ -217,6 +319,7 @@
               {"window_bytes", std::to_string(this->window.Bytes())}});
   }
   this->caught_up_at = now;
+  this->caught_up_as_of = as_of;
   this->is_caught_up = true;
   this->handlers.on_end(this->position, as_of);
 }
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "adapter/store_calls.h"
 #include "cell/read_window.h"
+#include "cell/topic_digest.h"
 #include "store_gateway.h"
 #include "topics.h"
 
@@ -13,7 +16,9 @@
 
 /// Follows a topic: reads a snapshot of the latest record of each key, then
 /// each record as it is appended. Starts over with a snapshot if records
-/// expired before they were read.
+/// expired before they were read. While a digest source is set, reads the
+/// digest that this other host keeps of the topic in place of the records, and
+/// the records only if the digest does not cover them.
 class TopicFollower {
  public:
   struct Handlers {
@@ -24,6 +29,13 @@
     /// Called when all records that the topic had at the time `as_of` have been
     /// read.
     std::function<void(Offset end, TimePoint as_of)> on_end;
+    /// Returns what the digest keeps of a record that was just handled. Empty
+    /// for a topic without a digest, as are the two below.
+    std::function<std::optional<DigestRecord>(const adapter::KeyedRecord&)>
+        make_digest;
+    std::function<void(const DigestRecord&)> on_digest;
+    /// Called if the digest source has answered but serves no digest.
+    std::function<void(const std::string& source)> on_digest_refused;
   };
 
   /// Consecutive reads are `read_delay` apart, so that records arrive in
@@ -40,7 +52,22 @@
   /// A shorter delay also shortens the current one.
   auto SetReadDelay(Duration delay) -> void;
 
+  /// Sets the endpoint of the host whose digest is read; empty: none.
+  auto SetDigestSource(const std::string& source) -> void {
+    this->digest_source = source;
+  }
+  /// Starts over with a snapshot, unless all records since the last one were
+  /// read.
+  auto RequireRecords() -> void;
+  /// Returns a page of this host's digest of the topic, or nothing if it keeps
+  /// none that covers the records from `from` on.
+  auto ReadDigest(Offset from) const -> std::optional<DigestPage>;
+
   auto IsCaughtUp() const -> bool { return this->is_caught_up; }
+  /// Whether the records themselves were read, not only a digest of them.
+  auto HasRecords() const -> bool {
+    return this->is_caught_up && this->is_complete;
+  }
   /// All records before this offset have been handled.
   auto Position() const -> Offset { return this->position; }
   auto LastRead() const -> TimePoint { return this->last_read; }
@@ -49,6 +76,12 @@
   auto ReadSnapshotPage() -> void;
   auto OnPage(const adapter::SnapshotPage& page, bool is_answered) -> void;
   auto ReadNext() -> void;
+  auto ReadNextDigest() -> void;
+  auto OnDigestReply(const std::string& source, const http::Reply& reply)
+      -> void;
+  /// Begins a read. The returned function tells whether its reply is still
+  /// wanted, and ends the read if so.
+  auto BeginRead() -> std::function<bool()>;
   auto OnRecords(const adapter::ReadResult& result, bool is_answered) -> void;
   /// Handles the end of a read that brought no records.
   auto OnReadFailed(bool is_answered) -> void;
@@ -77,12 +110,20 @@
   ReadWindow window;
   bool is_tailing = false;
   bool is_caught_up = false;
+  bool is_complete = false;
   bool is_read_in_flight = false;
+  std::uint64_t read_number = 0;  ///< Of the latest read.
+  std::string digest_source;
+  /// No digest is asked for until then.
+  TimePoint next_digest_read;
+  TopicDigest digest;
   TimePoint read_sent_at;
   int failures = 0;
   TimePoint next_read;
   TimePoint last_read;
   TimePoint caught_up_at;
+  /// All records that the topic had then have been handled.
+  TimePoint caught_up_as_of;
   bool is_behind_logged = false;
 };
 
--- a/apps/cell/topics.h
+++ b/apps/cell/topics.h
@@ -42,6 +42,12 @@
 inline constexpr const char* kOrdersPath = "/v1/orders";
 inline constexpr const char* kOrderRepliesPath = "/v1/order-replies";
 
+/// Path at which a standby serves digests of the topics that it reads; the
+/// parameters are the label of the topic and the first offset.
+inline constexpr const char* kDigestPath = "/v1/digest";
+inline constexpr const char* kDigestTopicParameter = "topic";
+inline constexpr const char* kDigestFromParameter = "from";
+
 /// Path and headers with which a host asks a peer to call a platform service on
 /// its behalf.
 inline constexpr const char* kRelayPath = "/v1/relay";
--- a/apps/cell/worker_entries.cc
+++ b/apps/cell/worker_entries.cc
@@ -11,11 +11,13 @@
                              Handlers handlers)
     : metrics(metrics), carrier(carrier), handlers(std::move(handlers)) {}
 
-auto WorkerEntries::Remove(const std::string& id) -> void {
+auto WorkerEntries::Remove(const std::string& id) -> bool {
   this->carrier.RemoveWorker(id);
-  if (this->workers.erase(id) > 0) {
-    this->handlers.on_gone(id);
+  if (this->workers.erase(id) == 0) {
+    return false;
   }
+  this->handlers.on_gone(id);
+  return true;
 }
 
 auto WorkerEntries::OnSnapshot(const std::vector<adapter::KeyedRecord>& records)
@@ -48,12 +50,28 @@
     if (record.value) {
       this->metrics.Add("worker_entries_ignored_total");
     }
-    this->Remove(record.key);
+    if (this->Remove(record.key)) {
+      this->changed_offsets[record.key] = record.offset;
+    }
     return;
   }
   this->carrier.SetWorker(record.key, report->address);
   this->handlers.on_worker(*report);
-  this->workers[record.key] = std::move(*report);
+  auto& known = this->workers[record.key];
+  if (known != *report) {
+    this->changed_offsets[record.key] = record.offset;
+  }
+  known = std::move(*report);
+}
+
+auto WorkerEntries::MakeDigest(const adapter::KeyedRecord& record) const
+    -> std::optional<DigestRecord> {
+  const auto changed = this->changed_offsets.find(record.key);
+  if (changed == this->changed_offsets.end() ||
+      changed->second != record.offset) {
+    return std::nullopt;
+  }
+  return DigestRecord{record.offset, record.key, record.value};
 }
 
 }  // namespace shallotbank::cell
--- a/apps/cell/worker_entries.h
+++ b/apps/cell/worker_entries.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "adapter/store_calls.h"
 #include "base/ids.h"
 #include "base/metrics.h"
+#include "cell/topic_digest.h"
 #include "order_carrier.h"
 
 namespace shallotbank::cell {
@@ -27,19 +29,26 @@
 
   auto OnSnapshot(const std::vector<adapter::KeyedRecord>& records) -> void;
   auto OnRecord(const adapter::KeyedRecord& record) -> void;
+  /// Returns the record if it was the last one of its worker and has changed
+  /// what is known of it. Most entries only show that the worker is up.
+  auto MakeDigest(const adapter::KeyedRecord& record) const
+      -> std::optional<DigestRecord>;
   /// By ID.
   auto Workers() const -> const std::map<std::string, WorkerReport>& {
     return this->workers;
   }
 
  private:
-  auto Remove(const std::string& id) -> void;
+  /// Returns whether the worker was known.
+  auto Remove(const std::string& id) -> bool;
 
   Metrics& metrics;
   OrderCarrier& carrier;
   const Handlers handlers;
   std::map<std::string, WorkerReport> workers;
-  std::map<std::string, Offset> latest_offsets;  ///< By worker.
+  std::map<std::string, Offset> latest_offsets;
+  /// Offset of the last record that changed the worker, by worker.
+  std::map<std::string, Offset> changed_offsets;  ///< By worker.
 };
 
 }  // namespace shallotbank::cell
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -32,6 +32,7 @@
   kProgressRefused = 2008,
   kTopicBehind = 2009,
   kTopicCaughtUp = 2010,
+  kStandbyRole = 2011,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -47,6 +47,7 @@
     EventEntry{Event::kProgressRefused, Severity::kError, "progress-refused"},
     EventEntry{Event::kTopicBehind, Severity::kWarning, "topic-behind"},
     EventEntry{Event::kTopicCaughtUp, Severity::kInfo, "topic-caught-up"},
+    EventEntry{Event::kStandbyRole, Severity::kInfo, "standby-role"},
     EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
     EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
     EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
--- a/libs/cell/include/cell/cell_configuration.h
+++ b/libs/cell/include/cell/cell_configuration.h
@@ -64,6 +64,8 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool is_draining = false;
+
+  auto operator==(const WorkerReport&) const -> bool = default;
 };
 
 }  // namespace shallotbank::cell
--- a/libs/cell/include/cell/job_table.h
+++ b/libs/cell/include/cell/job_table.h
@@ -27,8 +27,10 @@
   std::map<std::string, std::pair<Offset, std::string>> segments;
   JobState state = JobState::kQueued;
   Offset state_offset = 0;  ///< Of the record that contains the state.
-  /// The specification has been read, or the end of the job.
+  /// The specification has been read, its digest, or the end of the job.
   bool is_accepted = false;
+  /// `spec_bytes` is a digest, which lacks the steps.
+  bool is_digest = false;
   QueueName queue;
   OrganisationId organisation;
   bool is_cancel_requested = false;
@@ -64,6 +66,11 @@
                       TimePoint now,
                       std::chrono::system_clock::time_point wall)
       -> const StoredJob*;
+  /// The same for the digest of a record, see DigestJobRecord. The record
+  /// itself replaces it.
+  auto OnJobDigest(const std::string& key,
+                   std::optional<std::string> value,
+                   TimePoint now) -> void;
   /// Handles a record of the topic of progress, also a segment; no value means
   /// that the job is forgotten, or the segment. A record older than the known
   /// progress of the job is ignored, because the leader's progress updates
@@ -73,6 +80,12 @@
                         Offset offset,
                         TimePoint now) -> void;
 
+  /// The same for the digest of a record, see DigestProgressRecord.
+  auto OnProgressDigest(const std::string& key,
+                        std::optional<std::string> value,
+                        Offset offset,
+                        TimePoint now) -> void;
+
   /// Handles a change of state that the leader sent. Unlike a record, it
   /// carries no progress of the tasks; that is known only from the topic.
   /// Returns whether the state is new.
--- a/libs/cell/include/cell/peer_directory.h
+++ b/libs/cell/include/cell/peer_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <optional>
@@ -67,6 +68,15 @@
   /// Returns whether a responding peer is much larger than `own`.
   auto HasLargerPeer(const HostCapacity& own, TimePoint now) const -> bool;
 
+  /// Returns how many responding peers come before this host in the order in
+  /// which hosts are standbys: much larger hosts first, those of about the same
+  /// size in an order that mixes the failure domains.
+  auto StandbyRank(const HostCapacity& own, TimePoint now) const -> std::size_t;
+  /// Returns the endpoints of the first `count` responding peers in that order
+  /// that are considered reachable.
+  auto FirstStandbys(std::size_t count, TimePoint now) const
+      -> std::vector<std::string>;
+
   /// Returns whether more than half of the hosts with current announcements do
   /// not respond.
   auto IsIsolated(TimePoint now) const -> bool;
@@ -75,6 +85,9 @@
   /// this host.
   auto Reachable(TimePoint now) const -> std::vector<std::string>;
 
+  auto IsEndpointReachable(const std::string& endpoint, TimePoint now) const
+      -> bool;
+
   /// Returns what the peer announced; zeros if none was seen.
   auto CapacityOf(const std::string& endpoint) const -> HostCapacity;
 
--- a/libs/cell/include/cell/reading_pace.h
+++ b/libs/cell/include/cell/reading_pace.h
@@ -7,6 +7,7 @@
 /// A host's role with regard to the progress of jobs.
 enum class ProgressRole {
   kFollower,  ///< Answers queries; receives progress updates from the leader.
+  kObserver,  ///< The same, and reads digests of standbys instead of the topic.
   /// New leader that has to read all progress stored by the previous leader.
   kTakingOver,
   kLeader,  ///< Knows all progress, because it stores it.
--- a/libs/cell/src/job_table.cc
+++ b/libs/cell/src/job_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "cell/records.h"
 
@@ -80,7 +81,7 @@
     return nullptr;  // The end of the job may not have been read yet.
   }
   auto& job = this->jobs[id];
-  if (job.is_accepted) {
+  if (job.is_accepted && !job.is_digest) {
     return nullptr;  // Only the first record of an ID counts.
   }
   const auto spec = DecodeJob(*value);
@@ -88,8 +89,12 @@
     this->invalid_records++;
     return nullptr;
   }
-  job.is_accepted = true;
   job.spec_bytes = std::move(*value);
+  if (std::exchange(job.is_digest, false)) {
+    ReleaseBytesOfEnded(job);
+    return nullptr;  // All else is known from the digest.
+  }
+  job.is_accepted = true;
   job.queue = spec->queue;
   job.organisation = spec->organisation;
   job.submitted_at = spec->submitted_at;
@@ -100,6 +105,20 @@
   return &job;
 }
 
+auto JobTable::OnJobDigest(const std::string& key,
+                           std::optional<std::string> value,
+                           TimePoint now) -> void {
+  const bool is_cancel = key.ends_with(kCancelSuffix);
+  const auto known = this->jobs.find(JobId(key));
+  if (!is_cancel && known != this->jobs.end() && known->second.is_accepted) {
+    return;  // The record, its digest or the end of the job was read before.
+  }
+  const auto* job = this->OnJobRecord(key, std::move(value), now);
+  if (job != nullptr && !is_cancel && !IsFinal(job->state)) {
+    this->jobs[JobId(key)].is_digest = true;
+  }
+}
+
 auto JobTable::OnOldJobRecord(const std::string& key,
                               std::optional<std::string> value,
                               TimePoint now,
@@ -173,6 +192,18 @@
   }
 }
 
+auto JobTable::OnProgressDigest(const std::string& key,
+                                std::optional<std::string> value,
+                                Offset offset,
+                                TimePoint now) -> void {
+  const auto state = DecodeState(value.value_or(""));
+  if (state && !IsFinal(*state)) {
+    this->OnStateUpdate(key, *state, offset, now);
+  } else {
+    this->OnProgressRecord(key, std::move(value), offset, now);
+  }
+}
+
 auto JobTable::OnSegmentRecord(const JobId& id,
                                const std::string& key,
                                std::optional<std::string> value,
--- a/libs/cell/src/peer_directory.cc
+++ b/libs/cell/src/peer_directory.cc
@@ -1,6 +1,7 @@
 #include "cell/peer_directory.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <nlohmann/json.hpp>
 
@@ -26,6 +27,33 @@
 /// within seconds of an end.
 constexpr std::size_t kMaxEndedProcesses = 8;
 
+struct StandbyCandidate {
+  std::string endpoint;
+  HostCapacity capacity;
+  std::size_t order = 0;  ///< Among hosts of about the same size.
+};
+
+auto MakeCandidate(const std::string& endpoint, const HostCapacity& capacity)
+    -> StandbyCandidate {
+  return {endpoint, capacity, std::hash<std::string>{}(endpoint)};
+}
+
+auto ComesBefore(const StandbyCandidate& one, const StandbyCandidate& other)
+    -> bool {
+  return IsMuchLarger(one.capacity, other.capacity) ||
+         (!IsMuchLarger(other.capacity, one.capacity) &&
+          one.order < other.order);
+}
+
+auto RankAmong(const std::vector<StandbyCandidate>& candidates,
+               const StandbyCandidate& host) -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(candidates.begin(), candidates.end(),
+                    [&host](const StandbyCandidate& candidate) {
+                      return ComesBefore(candidate, host);
+                    }));
+}
+
 }  // namespace
 
 auto EncodeAnnouncement(const Announcement& announcement) -> std::string {
@@ -188,6 +216,34 @@
                      });
 }
 
+auto PeerDirectory::StandbyRank(const HostCapacity& own, TimePoint now) const
+    -> std::size_t {
+  std::vector<StandbyCandidate> candidates;
+  for (const auto& [endpoint, peer] : this->peers) {
+    if (IsResponding(peer, now)) {
+      candidates.push_back(MakeCandidate(endpoint, peer.capacity));
+    }
+  }
+  return RankAmong(candidates, MakeCandidate(this->own_endpoint, own));
+}
+
+auto PeerDirectory::FirstStandbys(std::size_t count, TimePoint now) const
+    -> std::vector<std::string> {
+  std::vector<StandbyCandidate> candidates;
+  for (const auto& [endpoint, peer] : this->peers) {
+    if (IsResponding(peer, now) && this->IsReachable(peer, now)) {
+      candidates.push_back(MakeCandidate(endpoint, peer.capacity));
+    }
+  }
+  std::vector<std::string> first;
+  for (const auto& candidate : candidates) {
+    if (RankAmong(candidates, candidate) < count) {
+      first.push_back(candidate.endpoint);
+    }
+  }
+  return first;
+}
+
 auto PeerDirectory::IsIsolated(TimePoint now) const -> bool {
   std::size_t current = 0;
   std::size_t unresponsive = 0;
@@ -225,6 +281,12 @@
   return reachable;
 }
 
+auto PeerDirectory::IsEndpointReachable(const std::string& endpoint,
+                                        TimePoint now) const -> bool {
+  const auto found = this->peers.find(endpoint);
+  return found != this->peers.end() && this->IsReachable(found->second, now);
+}
+
 auto PeerDirectory::CapacityOf(const std::string& endpoint) const
     -> HostCapacity {
   const auto found = this->peers.find(endpoint);
--- a/libs/cell/tests/job_table_test.cc
+++ b/libs/cell/tests/job_table_test.cc
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "cell/job_table.h"
+#include "cell/record_digests.h"
 #include "cell/records.h"
 
 namespace shallotbank::cell {
@@ -341,5 +342,106 @@
   BOOST_TEST(order == "cab");
 }
 
+auto FullJob() -> JobSpec {
+  JobSpec job;
+  job.id = JobId("a");
+  job.queue = QueueName("orders");
+  job.organisation = OrganisationId("shop");
+  job.payload = std::string(500, 'p');
+  job.steps.resize(2);
+  job.submitted_at = kWallNow;
+  return job;
+}
+
+auto RunningProgress() -> std::string {
+  JobProgress progress;
+  progress.state = JobState::kRunning;
+  auto& tasks = progress.occurrences.emplace_back().steps.emplace_back();
+  tasks.resize(20);
+  for (auto& task : tasks) {
+    task.phase = TaskPhase::kAssigned;
+    task.run = 1;
+    task.worker.id = WorkerId("worker");
+  }
+  return EncodeProgress(progress);
+}
+
+// Callers of a host that reads digests get the same answers as those of a host
+// that reads the records.
+BOOST_AUTO_TEST_CASE(digests_tell_what_callers_ask_for) {
+  const ManualClock clock;
+  JobTable jobs;
+  const auto record = EncodeJob(FullJob());
+  const auto digest = DigestJobRecord(3, "a", record);
+  BOOST_REQUIRE(digest.has_value());
+  BOOST_TEST(digest->value->size() < record.size() / 5);
+  jobs.OnJobDigest("a", digest->value, clock.Now());
+  jobs.OnJobDigest("a", digest->value, clock.Now());
+  const auto* job = jobs.Find(JobId("a"));
+  BOOST_REQUIRE(job != nullptr);
+  BOOST_TEST(job->queue.Text() == "orders");
+  BOOST_TEST(job->organisation.Text() == "shop");
+  BOOST_TEST(jobs.CountWaiting(QueueName("orders")) == 1U);
+
+  const auto running = RunningProgress();
+  const auto state = DigestProgressRecord(7, "a", running);
+  BOOST_REQUIRE(state.has_value());
+  BOOST_TEST(state->value->size() == 1U);
+  jobs.OnProgressDigest("a", state->value, 7, clock.Now());
+  BOOST_TEST((job->State() == JobState::kRunning));
+  BOOST_TEST(jobs.CountWaiting(QueueName("orders")) == 0U);
+  BOOST_TEST(!DigestProgressRecord(8, "a/0/1", "S").has_value());
+
+  const auto cancel =
+      DigestJobRecord(9, JobTable::CancelKey(JobId("a")), std::string("1"));
+  BOOST_REQUIRE(cancel.has_value());
+  jobs.OnJobDigest(cancel->key, cancel->value, clock.Now());
+  BOOST_TEST(job->is_cancel_requested);
+
+  JobProgress ended;
+  ended.state = JobState::kCompleted;
+  ended.queue = QueueName("orders");
+  ended.organisation = OrganisationId("shop");
+  const auto end = DigestProgressRecord(12, "a", EncodeProgress(ended));
+  jobs.OnProgressDigest("a", end->value, 12, clock.Now());
+  BOOST_TEST((job->State() == JobState::kCompleted));
+  // The removal of the specification changes nothing.
+  jobs.OnJobDigest("a", std::nullopt, clock.Now());
+  BOOST_TEST(jobs.Find(JobId("a")) == job);
+  // The job is forgotten with its end, also by a host that read no more of it.
+  JobTable late;
+  late.OnProgressDigest("a", end->value, 12, clock.Now());
+  BOOST_TEST((late.Find(JobId("a"))->State() == JobState::kCompleted));
+  late.OnProgressDigest("a", std::nullopt, 20, clock.Now());
+  BOOST_TEST(late.Find(JobId("a")) == nullptr);
+}
+
+// A leader that took a digest for the job would find no tasks to run.
+BOOST_AUTO_TEST_CASE(records_replace_digests) {
+  ManualClock clock;
+  const auto record = EncodeJob(FullJob());
+  const auto digest = DigestJobRecord(3, "a", record)->value;
+  const auto accepted_at = clock.Now();
+  JobTable jobs;
+  jobs.OnJobDigest("a", digest, accepted_at);
+  jobs.OnProgressDigest("a", RunningProgress().substr(0, 1), 7, clock.Now());
+  const auto* job = jobs.Find(JobId("a"));
+  BOOST_TEST(job->is_digest);
+  BOOST_TEST(job->progress_bytes.empty());
+  clock.Advance(seconds(5));
+  jobs.OnOldJobRecord("a", record, clock.Now(), kWallNow + seconds(5));
+  jobs.OnProgressRecord("a", RunningProgress(), 7, clock.Now());
+  BOOST_TEST(!job->is_digest);
+  BOOST_TEST(DecodeJob(job->spec_bytes)->steps.size() == 2U);
+  BOOST_TEST(job->progress_bytes == RunningProgress());
+  BOOST_TEST((job->accepted_at == accepted_at));
+  // A digest that arrives late does not replace the record.
+  jobs.OnJobDigest("a", digest, clock.Now());
+  jobs.OnProgressDigest("a", RunningProgress().substr(0, 1), 7, clock.Now());
+  BOOST_TEST(!job->is_digest);
+  BOOST_TEST(DecodeJob(job->spec_bytes)->steps.size() == 2U);
+  BOOST_TEST(job->progress_bytes == RunningProgress());
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
--- a/libs/cell/tests/peer_directory_test.cc
+++ b/libs/cell/tests/peer_directory_test.cc
@@ -1,8 +1,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "cell/peer_directory.h"
+#include "cell/standby_role.h"
 
 namespace shallotbank::cell {
 namespace {
@@ -133,5 +137,109 @@
   BOOST_TEST(!hosts.peers.HasEnded("h2", "second"));
 }
 
+constexpr HostCapacity kLarge{500, 200'000};
+constexpr HostCapacity kSmall{120, 20'000};
+
+auto EndpointOf(int host) -> std::string {
+  return "10.0.1." + std::to_string(host) + ":1";
+}
+
+/// The first `large` hosts of a cell are much larger than the others.
+struct StandbyCase {
+  const char* name;
+  int large;
+  int small;
+  /// Calls to the first this many hosts have failed.
+  int failed;
+};
+
+auto CapacityOf(const StandbyCase& test_case, int host) -> HostCapacity {
+  return host < test_case.large ? kLarge : kSmall;
+}
+
+/// What the host `own` knows of its peers.
+auto ViewOf(const StandbyCase& test_case, int own, TimePoint now)
+    -> PeerDirectory {
+  PeerDirectory peers("h" + std::to_string(own), EndpointOf(own), {});
+  for (int host = 0; host < test_case.large + test_case.small; host++) {
+    Announcement announcement{EndpointOf(host), "process", "sign",
+                              std::nullopt};
+    announcement.capacity = CapacityOf(test_case, host);
+    peers.OnAnnouncement("h" + std::to_string(host),
+                         EncodeAnnouncement(announcement), now);
+    if (host < test_case.failed) {
+      peers.OnFailure(EndpointOf(host), /*is_unanswered=*/true, now);
+    }
+  }
+  return peers;
+}
+
+// Hosts that disagree make too many standbys, or none.
+BOOST_AUTO_TEST_CASE(hosts_agree_on_the_order_of_standbys) {
+  constexpr std::size_t kFirst = 5;
+  const StandbyCase cases[] = {
+      {"alike", 0, 40, 0},
+      {"some large ones", 18, 79, 0},
+      {"all large ones failed", 18, 40, 18},
+      {"few", 1, 2, 0},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      const ManualClock clock;
+      const int count = test_case.large + test_case.small;
+      std::map<std::size_t, int> hosts_by_rank;
+      for (int own = test_case.failed; own < count; own++) {
+        const auto rank =
+            ViewOf(test_case, own, clock.Now())
+                .StandbyRank(CapacityOf(test_case, own), clock.Now());
+        BOOST_TEST(hosts_by_rank.emplace(rank, own).second);
+        BOOST_TEST((own < test_case.large) ==
+                   (rank + static_cast<std::size_t>(test_case.failed) <
+                    static_cast<std::size_t>(test_case.large)));
+      }
+      std::vector<std::string> first;
+      for (const auto& [rank, host] : hosts_by_rank) {
+        if (first.size() < kFirst) {
+          first.push_back(EndpointOf(host));
+        }
+      }
+      std::sort(first.begin(), first.end());
+      const auto last = hosts_by_rank.rbegin()->second;
+      std::erase(first, EndpointOf(last));
+      BOOST_TEST(ViewOf(test_case, last, clock.Now())
+                     .FirstStandbys(kFirst, clock.Now()) == first);
+    }
+  }
+}
+
+struct RoleCase {
+  const char* name;
+  std::vector<std::size_t> ranks;
+  bool is_standby;
+};
+
+BOOST_AUTO_TEST_CASE(few_hosts_are_standbys) {
+  const RoleCase cases[] = {
+      {"at the start", {}, true},
+      {"first", {0}, true},
+      {"among the first", {kMaxStandbyRank - 1}, true},
+      {"far behind", {kMaxStandbyRank}, false},
+      {"no longer far behind", {kMaxStandbyRank, kStandbys}, false},
+      {"among the first again", {kMaxStandbyRank, kStandbys - 1}, true},
+      {"a little behind again",
+       {kMaxStandbyRank, kStandbys - 1, kStandbys + 1},
+       true},
+  };
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      StandbyRole role;
+      for (const auto rank : test_case.ranks) {
+        role.Update(rank);
+      }
+      BOOST_TEST(role.IsStandby() == test_case.is_standby);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace shallotbank::cell
--- a/libs/cell/tests/reading_pace_test.cc
+++ b/libs/cell/tests/reading_pace_test.cc
@@ -25,6 +25,8 @@
        milliseconds(60)},
       {"follows with updates", ProgressRole::kFollower, milliseconds(10),
        seconds(1)},
+      {"observes without updates", ProgressRole::kObserver, seconds(9),
+       milliseconds(400)},
       {"leads", ProgressRole::kLeader, seconds(9), seconds(1)},
   };
   for (const auto& test_case : cases) {
--- a/scripts/check_docs.sh
+++ b/scripts/check_docs.sh
@@ -294,7 +294,7 @@
       calls 'LoseAttempt[(]' | cut -f 4- | { grep -oE '"[a-z0-9_-]+"' || true; } | tr -d '"' | sort -u
       ;;
     http_refused_total) http_reasons ;;
-    topic_read_bytes_total | topic_reads_failed_total)
+    topic_read_bytes_total | topic_reads_failed_total | digest_reads_failed_total)
       text_of '^apps/cell/topics[.]h$' | { grep -oE 'FollowedTopic k[A-Za-z]+\{[A-Za-z:]+, "[a-z]+"' || true; } |
         literals '"[a-z]+"'
       ;;
