Keep reads large while the store takes long for every answer

Cause: the window shrank with answers that took over 0.4 s. Such a store is no faster with small reads, so hosts read 16 to 64 KiB in 0.4 s, less than a large cell writes, and fell behind.

Change: only answers close to the timeout (1 s of 1.5 s) shrink the window, and it grows with those within 0.7 s.

--- a/libs/cell/include/cell/read_window.h
+++ b/libs/cell/include/cell/read_window.h
@@ -27,8 +27,8 @@
   auto OnNothingFits() -> void;
 
  private:
-  /// With 100 hosts, all windows together take 0.1 s of 80 MB/s.
-  static constexpr std::size_t kInitialBytes = 64 << 10;
+  /// With 100 hosts, all windows together take 0.15 s of 80 MB/s.
+  static constexpr std::size_t kInitialBytes = 128 << 10;
 
   std::size_t bytes = kInitialBytes;
   bool is_exceeded = false;
--- a/libs/cell/src/read_window.cc
+++ b/libs/cell/src/read_window.cc
@@ -7,13 +7,15 @@
 namespace {
 
 constexpr std::size_t kMinBytes = 16 << 10;
+/// Enough for 0.4 MB/s of records, as a large cell writes them, from a store
+/// that takes 0.6 s for each answer whatever its size.
 constexpr std::size_t kMaxBytes = 256 << 10;
 /// The store's limit of a read, which any record fits.
 constexpr std::size_t kExceededBytes = 1024 << 10;
-/// Far below the timeout of a read (1.5 s), so that the window shrinks before
-/// reads are lost.
-constexpr std::chrono::milliseconds kSlowRead(400);
-constexpr std::chrono::milliseconds kFastRead(150);
+/// Below the timeout of a read (1.5 s), so that the window shrinks before reads
+/// are lost.
+constexpr std::chrono::milliseconds kSlowRead(1000);
+constexpr std::chrono::milliseconds kFastRead(700);
 
 }  // namespace
 
