Do not call a key or route unknown without a recent configuration

Cause: only new jobs and cancellations depended on the age of the configuration; an unknown route or key was refused however old it was.

Change: without a read of the configuration in the last 4 s, such a request is refused as stale-configuration: 503 with Retry-After, nothing was run.

--- a/apps/cell/job_service.cc
+++ b/apps/cell/job_service.cc
@@ -71,6 +71,22 @@
                "the store could not be read lately");
 }
 
+auto JobService::RefuseForStaleConfiguration(const Context& context) -> void {
+  this->Refuse(context, kUnavailable, "stale-configuration",
+               "the configuration could not be read lately");
+}
+
+auto JobService::RefuseAsUnknown(const Context& context,
+                                 int status,
+                                 const std::string& reason,
+                                 const std::string& message) -> void {
+  if (this->IsConfigurationFresh()) {
+    this->Refuse(context, status, reason, message);
+  } else {
+    this->RefuseForStaleConfiguration(context);
+  }
+}
+
 auto JobService::IsJobViewFresh() const -> bool {
   return this->jobs_caught_up_at != TimePoint() &&
          this->runtime.clock.Now() - this->jobs_caught_up_at < kMaxViewAge;
@@ -109,7 +125,7 @@
   const auto& access = this->view.configuration.access;
   const auto match = access.Match(context.headers.host, request.path);
   if (!match) {
-    this->Refuse(context, kNotFound, "unknown-route", "no such queue");
+    this->RefuseAsUnknown(context, kNotFound, "unknown-route", "no such queue");
     return;
   }
   context.queue = match->route->queue;
@@ -117,7 +133,8 @@
   if (!match->route->is_open) {
     const auto owner = access.FindOwner(context.headers.key);
     if (!owner) {
-      this->Refuse(context, kUnauthorized, "unknown-key", "unknown key");
+      this->RefuseAsUnknown(context, kUnauthorized, "unknown-key",
+                            "unknown key");
       return;
     }
     context.organisation = *owner;
@@ -141,8 +158,7 @@
   const bool may_change_jobs =
       request.method == "POST" || request.method == "DELETE";
   if (may_change_jobs && !this->IsConfigurationFresh()) {
-    this->Refuse(context, kUnavailable, "stale-configuration",
-                 "the configuration could not be read lately");
+    this->RefuseForStaleConfiguration(context);
     return;
   }
   if (request.method == "POST") {
--- a/apps/cell/job_service.h
+++ b/apps/cell/job_service.h
@@ -59,6 +59,13 @@
               int status,
               const std::string& reason,
               const std::string& message) -> void;
+  auto RefuseForStaleConfiguration(const Context& context) -> void;
+  /// Refuses a request for a route or key that is not in the configuration;
+  /// without the reason if a newer one may have it.
+  auto RefuseAsUnknown(const Context& context,
+                       int status,
+                       const std::string& reason,
+                       const std::string& message) -> void;
   auto RefuseAsStale(const Context& context) -> void;
   auto Submit(const Context& context, const std::string& body) -> void;
   auto Cancel(const Context& context) -> void;
