Discard the reply to a digest once a host needs the records

A host that wins an election while a digest read is in flight must not handle the reply: jobs in it would be known by their digest and never reach its scheduler.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -464,7 +464,6 @@
   this->standby.SetLeader(this->peers.EndpointOf(
       this->election.LeaderHost(), this->election.LeaderProcess(), now));
   this->standby.Tick(this->hosts_topic.LastRead(), now);
-  this->runtime.metrics.Set("cell_is_standby", this->standby.IsStandby());
   const bool is_leading = this->leader || this->election.IsLeader();
   const bool needs_records = is_leading || this->standby.IsStandby();
   for (auto* topic :
--- a/apps/cell/standby_policy.cc
+++ b/apps/cell/standby_policy.cc
@@ -35,6 +35,7 @@
                 {"rank", std::to_string(rank)}});
     }
   }
+  this->runtime.metrics.Set("cell_is_standby", this->IsStandby() ? 1 : 0);
   if (!this->IsStandby()) {
     this->ChooseSource(now);
   }
--- a/apps/cell/store_gateway.cc
+++ b/apps/cell/store_gateway.cc
@@ -24,12 +24,6 @@
 constexpr std::chrono::milliseconds kRelayedAnswerValidity(600);
 /// The store counts as unreachable after failures on every path for this time.
 constexpr std::chrono::milliseconds kUnreachableAfter(700);
-/// After the store has refused a call through a peer as well, or left it
-/// unanswered, it is busy for all hosts. Calls that it refuses or leaves
-/// unanswered are then not sent a second time, through a peer, for this time.
-/// It doubles while relayed calls keep failing.
-constexpr std::chrono::milliseconds kRelayBackoff(1000);
-constexpr std::chrono::milliseconds kMaxRelayBackoff(8000);
 /// Without any direct answer for this time, calls in flight try a second path.
 /// Above the interval between answers of a slow store: even then some call
 /// completes sooner.
@@ -132,7 +126,8 @@
   const auto now = this->runtime.clock.Now();
   const auto reachable = this->peers.Reachable(now);
   if (pending->has_tried_peer || reachable.empty() ||
-      (reason == RelayReason::kSecondCopy && now < this->relay_backoff_until)) {
+      (reason == RelayReason::kSecondCopy &&
+       !this->relay_backoff.AllowsSecondCopy(now))) {
     return false;
   }
   pending->has_tried_peer = true;
@@ -201,14 +196,10 @@
   const auto now = this->runtime.clock.Now();
   if (IsConclusive(reply)) {
     this->last_relayed_answer = now;
-    this->relay_backoff = Duration();
-    return;
-  }
-  // A peer that cannot be reached says nothing about the store.
-  if (has_peer_tried && now >= this->relay_backoff_until) {
-    this->relay_backoff = std::clamp<Duration>(this->relay_backoff * 2,
-                                               kRelayBackoff, kMaxRelayBackoff);
-    this->relay_backoff_until = now + this->relay_backoff;
+    this->relay_backoff.OnAnswered();
+  } else if (has_peer_tried) {
+    // A peer that cannot be reached says nothing about the store.
+    this->relay_backoff.OnFailed(now);
   }
 }
 
--- a/apps/cell/store_gateway.h
+++ b/apps/cell/store_gateway.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "cell/peer_directory.h"
+#include "cell/relay_backoff.h"
 #include "http/message.h"
 #include "http/responder.h"
 #include "runtime.h"
@@ -90,9 +91,7 @@
   TimePoint first_failure;  ///< Since the last success; zero if none.
   bool is_unreachable_logged = false;
   std::size_t next_peer = 0;
-  /// No second copies of calls are relayed until then.
-  TimePoint relay_backoff_until;
-  Duration relay_backoff{};  ///< Zero after an answer through a peer.
+  RelayBackoff relay_backoff;
 };
 
 }  // namespace shallotbank::cell
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -84,14 +84,19 @@
   this->read_delay = delay;
 }
 
+auto TopicFollower::SetDigestSource(const std::string& source) -> void {
+  this->digest_source = source;
+  if (source.empty() && this->is_digest_read_in_flight) {
+    this->CancelRead();
+  }
+}
+
 auto TopicFollower::RequireRecords() -> void {
   if (this->is_complete || !this->is_tailing) {
     return;  // Nothing is missing, or a snapshot is being read.
   }
   this->is_tailing = false;
-  this->is_read_in_flight = false;
-  this->read_number++;
-  this->next_read = TimePoint();
+  this->CancelRead();
 }
 
 auto TopicFollower::ReadDigest(Offset from) const -> std::optional<DigestPage> {
@@ -114,10 +119,18 @@
       return false;
     }
     this->is_read_in_flight = false;
+    this->is_digest_read_in_flight = false;
     return true;
   };
 }
 
+auto TopicFollower::CancelRead() -> void {
+  this->read_number++;
+  this->is_read_in_flight = false;
+  this->is_digest_read_in_flight = false;
+  this->next_read = TimePoint();
+}
+
 auto TopicFollower::Retry() -> void {
   this->failures++;
   this->next_read = this->runtime.clock.Now() +
@@ -199,6 +212,7 @@
 }
 
 auto TopicFollower::ReadNextDigest() -> void {
+  this->is_digest_read_in_flight = true;
   http::Call call;
   call.url = "http://" + this->digest_source + kDigestPath + "?" +
              kDigestTopicParameter + "=" + this->topic.label + "&" +
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -52,10 +52,9 @@
   /// A shorter delay also shortens the current one.
   auto SetReadDelay(Duration delay) -> void;
 
-  /// Sets the endpoint of the host whose digest is read; empty: none.
-  auto SetDigestSource(const std::string& source) -> void {
-    this->digest_source = source;
-  }
+  /// Sets the endpoint of the host whose digest is read; empty: none. Once it
+  /// is empty, no digest is handled any more.
+  auto SetDigestSource(const std::string& source) -> void;
   /// Starts over with a snapshot, unless all records since the last one were
   /// read.
   auto RequireRecords() -> void;
@@ -82,6 +81,8 @@
   /// Begins a read. The returned function tells whether its reply is still
   /// wanted, and ends the read if so.
   auto BeginRead() -> std::function<bool()>;
+  /// Discards the reply to the read in flight, if there is one.
+  auto CancelRead() -> void;
   auto OnRecords(const adapter::ReadResult& result, bool is_answered) -> void;
   /// Handles the end of a read that brought no records.
   auto OnReadFailed(bool is_answered) -> void;
@@ -112,6 +113,7 @@
   bool is_caught_up = false;
   bool is_complete = false;
   bool is_read_in_flight = false;
+  bool is_digest_read_in_flight = false;
   std::uint64_t read_number = 0;  ///< Of the latest read.
   std::string digest_source;
   /// No digest is asked for until then.
