--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -102,8 +102,8 @@
              }
            },
            [this](const auto& record) { this->OnConfigurationRecord(record); },
-           [this](Offset, TimePoint as_of) {
-             this->service.SetConfigurationCaughtUpAt(as_of);
+           [this](const ReadPoint& point) {
+             this->service.SetConfigurationCaughtUpAt(point.as_of);
            }}),
       workers_topic(
           this->runtime,
@@ -112,8 +112,8 @@
           kWorkersReadDelay,
           {[this](const auto& records) { this->workers.OnSnapshot(records); },
            [this](const auto& record) { this->workers.OnRecord(record); },
-           [this](Offset, TimePoint as_of) {
-             this->workers_caught_up_at = as_of;
+           [this](const ReadPoint& point) {
+             this->workers_caught_up_at = point.as_of;
            },
            [this](const auto& record) {
              return this->workers.MakeDigest(record);
@@ -129,9 +129,9 @@
           Duration::zero(),
           {[this](const auto& records) { this->OnJobsSnapshot(records); },
            [this](const auto& record) { this->OnJobRecord(record); },
-           [this](Offset, TimePoint as_of) {
-             this->jobs_caught_up_at = as_of;
-             this->service.SetJobsCaughtUpAt(this->jobs_caught_up_at);
+           [this](const ReadPoint& point) {
+             this->jobs_caught_up_at = point.as_of;
+             this->service.SetJobsRead(point);
            },
            [](const auto& record) {
              return DigestJobRecord(record.offset, record.key, record.value);
@@ -152,8 +152,8 @@
              }
            },
            [this](const auto& record) { this->OnProgressRecord(record); },
-           [this](Offset, TimePoint as_of) {
-             this->service.SetProgressCaughtUpAt(as_of);
+           [this](const ReadPoint& point) {
+             this->service.SetProgressRead(point);
            },
            [](const auto& record) {
              return DigestProgressRecord(record.offset, record.key,
@@ -186,8 +186,8 @@
                                        this->runtime.clock.Now());
              }
            },
-           [this](Offset end, TimePoint) {
-             this->election.OnReadToEnd(end, this->runtime.clock.Now());
+           [this](const ReadPoint& point) {
+             this->election.OnReadToEnd(point.end, this->runtime.clock.Now());
            }}),
       hosts_topic(this->runtime,
                   this->store,
@@ -199,7 +199,7 @@
                      }
                    },
                    [this](const auto& record) { this->OnHostRecord(record); },
-                   [](Offset, TimePoint) {}}),
+                   [](const ReadPoint&) {}}),
       servers(this->runtime,
               {this->service, this->store, this->writer, this->carrier,
                [this](const auto& message) {
--- a/apps/cell/job_service.cc
+++ b/apps/cell/job_service.cc
@@ -88,8 +88,8 @@
 }
 
 auto JobService::IsJobViewFresh() const -> bool {
-  return this->jobs_caught_up_at != TimePoint() &&
-         this->runtime.clock.Now() - this->jobs_caught_up_at < kMaxViewAge;
+  return this->jobs_read.as_of != TimePoint() &&
+         this->runtime.clock.Now() - this->jobs_read.as_of < kMaxViewAge;
 }
 
 auto JobService::IsConfigurationFresh() const -> bool {
@@ -99,8 +99,8 @@
 
 auto JobService::IsUnknownJob(const JobId& id) const -> bool {
   const bool knows_ended_jobs =
-      this->progress_caught_up_at != TimePoint() &&
-      this->runtime.clock.Now() - this->progress_caught_up_at < kMaxProgressAge;
+      this->progress_read.as_of != TimePoint() &&
+      this->runtime.clock.Now() - this->progress_read.as_of < kMaxProgressAge;
   return this->IsJobViewFresh() && knows_ended_jobs &&
          !this->view.jobs.IsIncomplete(id);
 }
@@ -245,6 +245,7 @@
   const auto* known = this->view.jobs.Find(context.id);
   if (known == nullptr) {
     if (this->IsUnknownJob(context.id)) {
+      this->ReportDenial(context);
       this->Refuse(context, kGone, "unknown-job", "no such job");
     } else {
       this->RefuseAsStale(context);
@@ -256,6 +257,20 @@
                            adapter::MakeStateBody(known->State())});
 }
 
+auto JobService::ReportDenial(const Context& context) const -> void {
+  const auto now = this->runtime.clock.Now();
+  LogEvent(
+      Event::kJobDenied,
+      {{"job", context.id.Text()},
+       {"waited_ms", MillisecondsText(now - context.arrived)},
+       {"jobs_end", std::to_string(this->jobs_read.end)},
+       {"jobs_age_ms", MillisecondsText(now - this->jobs_read.as_of)},
+       {"jobs_source", std::string(ToText(this->jobs_read.source))},
+       {"progress_end", std::to_string(this->progress_read.end)},
+       {"progress_age_ms", MillisecondsText(now - this->progress_read.as_of)},
+       {"progress_source", std::string(ToText(this->progress_read.source))}});
+}
+
 auto JobService::SendWaitingCount(const Context& context) -> void {
   if (!this->IsJobViewFresh()) {
     this->RefuseAsStale(context);
--- a/apps/cell/job_service.h
+++ b/apps/cell/job_service.h
@@ -8,6 +8,7 @@
 #include "cell/job_table.h"
 #include "cell/state_queries.h"
 #include "http/responder.h"
+#include "read_point.h"
 #include "record_writer.h"
 #include "runtime.h"
 
@@ -30,11 +31,11 @@
              View view);
 
   auto Handle(const http::Request& request, http::Responder responder) -> void;
-  /// Sets when a read of the jobs topic last reached its end.
-  auto SetJobsCaughtUpAt(TimePoint at) -> void { this->jobs_caught_up_at = at; }
-  /// Sets when a read of the progress topic last reached its end.
-  auto SetProgressCaughtUpAt(TimePoint at) -> void {
-    this->progress_caught_up_at = at;
+  /// Sets how far the topic of jobs has been read.
+  auto SetJobsRead(const ReadPoint& point) -> void { this->jobs_read = point; }
+  /// The same for the topic of progress.
+  auto SetProgressRead(const ReadPoint& point) -> void {
+    this->progress_read = point;
   }
   /// Sets when a read of the configuration last reached its end.
   auto SetConfigurationCaughtUpAt(TimePoint at) -> void {
@@ -75,6 +76,8 @@
   auto Write(const Context& context, adapter::KeyedRecord record) -> void;
   auto OnWritten(const Context& context, Verdict verdict) -> void;
   auto GetWriteDeadline(const Context& context) const -> TimePoint;
+  /// Logs what the host had read when it answered that a job does not exist.
+  auto ReportDenial(const Context& context) const -> void;
   auto IsJobViewFresh() const -> bool;
   /// Whether keys and routes are known as of some seconds ago.
   auto IsConfigurationFresh() const -> bool;
@@ -87,8 +90,8 @@
   View view;
   StateQueries<Context> state_queries;
   bool is_stopping = false;
-  TimePoint jobs_caught_up_at;
-  TimePoint progress_caught_up_at;
+  ReadPoint jobs_read;
+  ReadPoint progress_read;
   TimePoint configuration_caught_up_at;
 };
 
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -53,6 +53,7 @@
   this->snapshot_records.clear();
   this->snapshot_after.clear();
   this->is_snapshot_begun = true;
+  this->snapshot_pages = 0;
   this->snapshot_started_at = this->runtime.clock.Now();
   if (this->caught_up_at == TimePoint()) {
     this->caught_up_at = this->snapshot_started_at;
@@ -169,6 +170,7 @@
     return;
   }
   this->failures = 0;
+  this->snapshot_pages++;
   if (this->snapshot_after.empty()) {
     this->snapshot_end = page.end;
   }
@@ -188,10 +190,11 @@
   if (this->handlers.make_digest) {
     this->digest.Restart(this->position);
   }
+  this->ReportSnapshot();
   this->handlers.on_snapshot(std::exchange(this->snapshot_records, {}));
   this->last_read = this->runtime.clock.Now();
   // Records appended while the pages were read may be missing.
-  this->OnCaughtUp(this->snapshot_started_at);
+  this->OnCaughtUp(this->snapshot_started_at, ReadSource::kSnapshot);
   this->next_read = this->last_read;
 }
 
@@ -257,7 +260,7 @@
     this->next_read = now;
     return;
   }
-  this->OnCaughtUp(this->read_sent_at - page->age);
+  this->OnCaughtUp(this->read_sent_at - page->age, ReadSource::kDigest);
   this->next_read = now + this->read_delay;
 }
 
@@ -318,12 +321,13 @@
   this->OnCaughtUp(
       result.records.empty()
           ? std::min<TimePoint>(now, this->read_sent_at + kReadWait)
-          : this->read_sent_at);
+          : this->read_sent_at,
+      ReadSource::kRecords);
   this->next_read =
       now + (result.records.empty() ? Duration::zero() : this->read_delay);
 }
 
-auto TopicFollower::OnCaughtUp(TimePoint as_of) -> void {
+auto TopicFollower::OnCaughtUp(TimePoint as_of, ReadSource source) -> void {
   const auto now = this->runtime.clock.Now();
   if (std::exchange(this->is_behind_logged, false)) {
     LogEvent(Event::kTopicCaughtUp,
@@ -335,7 +339,17 @@
   this->caught_up_at = now;
   this->caught_up_as_of = as_of;
   this->is_caught_up = true;
-  this->handlers.on_end(this->position, as_of);
+  this->handlers.on_end({this->position, as_of, source});
+}
+
+auto TopicFollower::ReportSnapshot() const -> void {
+  LogEvent(Event::kSnapshotRead,
+           {{"topic", this->topic.label},
+            {"pages", std::to_string(this->snapshot_pages)},
+            {"records", std::to_string(this->snapshot_records.size())},
+            {"end", std::to_string(this->snapshot_end)},
+            {"took_ms", InMilliseconds(this->runtime.clock.Now() -
+                                       this->snapshot_started_at)}});
 }
 
 auto TopicFollower::ReportIfBehind(TimePoint now) -> void {
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -9,6 +9,7 @@
 #include "adapter/store_calls.h"
 #include "cell/read_window.h"
 #include "cell/topic_digest.h"
+#include "read_point.h"
 #include "store_gateway.h"
 #include "topics.h"
 
@@ -26,9 +27,8 @@
     /// not among them no longer exist.
     std::function<void(const std::vector<adapter::KeyedRecord>&)> on_snapshot;
     std::function<void(const adapter::KeyedRecord&)> on_record;
-    /// Called when all records that the topic had at the time `as_of` have been
-    /// read.
-    std::function<void(Offset end, TimePoint as_of)> on_end;
+    /// Called when the topic has been read to its end.
+    std::function<void(const ReadPoint&)> on_end;
     /// Returns what the digest keeps of a record that was just handled. Empty
     /// for a topic without a digest, as are the two below.
     std::function<std::optional<DigestRecord>(const adapter::KeyedRecord&)>
@@ -88,7 +88,8 @@
   auto OnReadFailed(bool is_answered) -> void;
   /// Adapts the size of the next read to the time that this one took.
   auto UpdateWindow(const adapter::ReadResult& result) -> void;
-  auto OnCaughtUp(TimePoint as_of) -> void;
+  auto OnCaughtUp(TimePoint as_of, ReadSource source) -> void;
+  auto ReportSnapshot() const -> void;
   /// Logs once that the topic has not been read to its end for a while.
   auto ReportIfBehind(TimePoint now) -> void;
   auto Retry() -> void;
@@ -102,6 +103,7 @@
   /// Key after which the next page of the snapshot starts; empty for the first.
   std::string snapshot_after;
   bool is_snapshot_begun = false;
+  int snapshot_pages = 0;
   std::chrono::milliseconds page_timeout;
   Offset snapshot_end = 0;
   TimePoint snapshot_started_at;
--- a/libs/base/include/base/log.h
+++ b/libs/base/include/base/log.h
@@ -33,6 +33,7 @@
   kTopicBehind = 2009,
   kTopicCaughtUp = 2010,
   kStandbyRole = 2011,
+  kSnapshotRead = 2012,
   kHostListUnreachable = 2101,
   kHostListReachable = 2102,
   kPeerSuspected = 3001,
@@ -62,6 +63,7 @@
   kMinionEjected = 5001,
   kMinionRestored = 5002,
   kRequestRefused = 5101,
+  kJobDenied = 5102,
   kConfigurationAccepted = 6001,
   kConfigurationConflict = 6002,
 };
--- a/libs/base/src/log.cc
+++ b/libs/base/src/log.cc
@@ -48,6 +48,7 @@
     EventEntry{Event::kTopicBehind, Severity::kWarning, "topic-behind"},
     EventEntry{Event::kTopicCaughtUp, Severity::kInfo, "topic-caught-up"},
     EventEntry{Event::kStandbyRole, Severity::kInfo, "standby-role"},
+    EventEntry{Event::kSnapshotRead, Severity::kInfo, "snapshot-read"},
     EventEntry{Event::kHostListUnreachable, Severity::kWarning, "host-list-unreachable"},
     EventEntry{Event::kHostListReachable, Severity::kInfo, "host-list-reachable"},
     EventEntry{Event::kPeerSuspected, Severity::kWarning, "peer-suspected"},
@@ -77,6 +78,7 @@
     EventEntry{Event::kMinionEjected, Severity::kWarning, "minion-ejected"},
     EventEntry{Event::kMinionRestored, Severity::kInfo, "minion-restored"},
     EventEntry{Event::kRequestRefused, Severity::kInfo, "request-refused"},
+    EventEntry{Event::kJobDenied, Severity::kInfo, "job-denied"},
     EventEntry{Event::kConfigurationAccepted, Severity::kInfo, "configuration-accepted"},
     EventEntry{Event::kConfigurationConflict, Severity::kWarning, "configuration-conflict"},
 };
