Deny a job only on a read of the jobs that began after the question

What callers saw: 410 for a job whose acceptance they held, from a host other than the one that had accepted it. The users' record has denials 4.4 s after the acceptance, by hosts of a restarted cell (docs/incidents/denied-jobs.md).

Cause: that a job is missing from what a host has read says nothing about what was accepted since. The age of the view was bounded (1.5 s), not related to the question.

Change: a query for an unknown job waits until the topic of jobs has been read to its end as of the arrival of the query, which brings the next read forward. Without such a read within 1.5 s, or of what the caller waits, it is 503. A host without a recent view refuses at once, as before. The specification of an ended job is removed 3.5 s after its end is stored, so a view of the progress that is younger than 2.5 s has that end; this condition stays.

Cases in cell_state_queries_test.

--- a/apps/cell/job_service.cc
+++ b/apps/cell/job_service.cc
@@ -24,10 +24,12 @@
 constexpr std::chrono::milliseconds kDefaultDeadline(3000);
 /// Reserved for sending the response to the caller.
 constexpr std::chrono::milliseconds kResponseMargin(150);
-/// A job is reported as unknown, and the waiting jobs are counted, only if the
-/// jobs topic was read to its end within this time.
+/// The waiting jobs are counted only if the jobs topic was read to its end
+/// within this time. A query for an unknown job is refused without it, as the
+/// next read may not come soon.
 constexpr std::chrono::milliseconds kMaxViewAge(1500);
-/// The same for the progress topic, from which ended jobs are known.
+/// A job is reported as unknown only if the progress topic, from which ended
+/// jobs are known, was read to its end within this time.
 constexpr std::chrono::milliseconds kMaxProgressAge(2500);
 /// Jobs are accepted and cancelled only if the configuration was read to its
 /// end within this time, since a key may have been withdrawn meanwhile.
@@ -40,8 +42,13 @@
 JobService::JobService(Runtime& runtime,
                        StoreGateway& store,
                        RecordWriter& writer,
-                       View view)
-    : runtime(runtime), store(store), writer(writer), view(view) {}
+                       View view,
+                       OnJobsWanted on_jobs_wanted)
+    : runtime(runtime),
+      store(store),
+      writer(writer),
+      view(view),
+      on_jobs_wanted(std::move(on_jobs_wanted)) {}
 
 auto JobService::Refuse(const Context& context,
                         int status,
@@ -97,12 +104,17 @@
          kMaxConfigurationAge;
 }
 
-auto JobService::IsUnknownJob(const JobId& id) const -> bool {
+auto JobService::CanDecideUnknownJob() const -> bool {
   const bool knows_ended_jobs =
       this->progress_read.as_of != TimePoint() &&
       this->runtime.clock.Now() - this->progress_read.as_of < kMaxProgressAge;
-  return this->IsJobViewFresh() && knows_ended_jobs &&
-         !this->view.jobs.IsIncomplete(id);
+  return this->IsJobViewFresh() && knows_ended_jobs;
+}
+
+auto JobService::IsUnknownJob(const Context& context) const -> bool {
+  return this->CanDecideUnknownJob() &&
+         this->jobs_read.as_of >= context.arrived &&
+         !this->view.jobs.IsIncomplete(context.id);
 }
 
 auto JobService::GetWriteDeadline(const Context& context) const -> TimePoint {
@@ -215,14 +227,17 @@
 
 auto JobService::QueryState(const Context& context) -> void {
   const auto* known = this->view.jobs.Find(context.id);
-  const bool may_wait =
-      known != nullptr && !IsFinal(known->State()) && !this->is_stopping;
-  if (may_wait) {
+  const bool may_change =
+      known != nullptr ? !IsFinal(known->State()) : this->CanDecideUnknownJob();
+  if (may_change && !this->is_stopping) {
     const auto patience =
         context.headers.deadline.value_or(kDefaultDeadline) - kResponseMargin;
     auto waiting = context;
     if (this->state_queries.Add(context.id, patience, context.arrived,
                                 std::move(waiting))) {
+      if (known == nullptr) {
+        this->on_jobs_wanted();
+      }
       return;
     }
   }
@@ -230,8 +245,8 @@
 }
 
 auto JobService::Tick(TimePoint now) -> void {
-  for (const auto& [job, context] :
-       this->state_queries.TakeDue(this->view.jobs, now)) {
+  for (const auto& [job, context] : this->state_queries.TakeDue(
+           this->view.jobs, this->jobs_read.as_of, now)) {
     this->SendState(context);
   }
 }
@@ -244,7 +259,7 @@
 auto JobService::SendState(const Context& context) -> void {
   const auto* known = this->view.jobs.Find(context.id);
   if (known == nullptr) {
-    if (this->IsUnknownJob(context.id)) {
+    if (this->IsUnknownJob(context)) {
       this->ReportDenial(context);
       this->Refuse(context, kGone, "unknown-job", "no such job");
     } else {
--- a/apps/cell/job_service.h
+++ b/apps/cell/job_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -24,11 +25,14 @@
     const adapter::OperatorConfiguration& configuration;
     const bool& is_configured;
   };
+  /// Called if an answer waits for the next read of the topic of jobs.
+  using OnJobsWanted = std::function<void()>;
 
   JobService(Runtime& runtime,
              StoreGateway& store,
              RecordWriter& writer,
-             View view);
+             View view,
+             OnJobsWanted on_jobs_wanted);
 
   auto Handle(const http::Request& request, http::Responder responder) -> void;
   /// Sets how far the topic of jobs has been read.
@@ -81,13 +85,16 @@
   auto IsJobViewFresh() const -> bool;
   /// Whether keys and routes are known as of some seconds ago.
   auto IsConfigurationFresh() const -> bool;
-  /// Whether a job that this host does not know does not exist.
-  auto IsUnknownJob(const JobId& id) const -> bool;
+  /// Whether this host may soon know if a job exists that it does not know.
+  auto CanDecideUnknownJob() const -> bool;
+  /// Whether the job, which this host does not know, does not exist.
+  auto IsUnknownJob(const Context& context) const -> bool;
 
   Runtime& runtime;
   StoreGateway& store;
   RecordWriter& writer;
   View view;
+  const OnJobsWanted on_jobs_wanted;
   StateQueries<Context> state_queries;
   bool is_stopping = false;
   ReadPoint jobs_read;
--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -13,6 +13,9 @@
 /// detected soon after.
 constexpr std::chrono::milliseconds kReadWait(800);
 constexpr std::chrono::milliseconds kRetryDelay(60);
+/// Delay between two reads of which the second is wanted soon. Limits the reads
+/// that callers can cause.
+constexpr std::chrono::milliseconds kMinReadDelay(60);
 constexpr int kMaxRetryFactor = 5;
 /// The store sets the size of a page, up to 1 MB. If all hosts read pages at
 /// the same time, as after a restart of the cell, one may take longer than the
@@ -85,6 +88,13 @@
   this->read_delay = delay;
 }
 
+auto TopicFollower::ReadSoon() -> void {
+  if (this->failures == 0) {
+    this->next_read =
+        std::min(this->next_read, this->last_read + kMinReadDelay);
+  }
+}
+
 auto TopicFollower::SetDigestSource(const std::string& source) -> void {
   this->digest_source = source;
   if (source.empty() && this->is_digest_read_in_flight) {
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -52,6 +52,9 @@
   /// A shorter delay also shortens the current one.
   auto SetReadDelay(Duration delay) -> void;
 
+  /// Brings the next read forward.
+  auto ReadSoon() -> void;
+
   /// Sets the endpoint of the host whose digest is read; empty: none. Once it
   /// is empty, no digest is handled any more.
   auto SetDigestSource(const std::string& source) -> void;
--- a/libs/cell/include/cell/state_queries.h
+++ b/libs/cell/include/cell/state_queries.h
@@ -12,13 +12,22 @@
 
 namespace shallotbank::cell {
 
-/// The longest time for which the answer to a state query is delayed.
+/// The longest time for which the answer to a query about a running job is
+/// delayed.
 inline constexpr std::chrono::milliseconds kMaxStateWait{400};
+/// The same for a job that this host does not know. Above the time in which an
+/// observer reads what its standby has read since the query.
+inline constexpr std::chrono::milliseconds kMaxUnknownJobWait{1500};
 
-/// Queries for the state of jobs that have not ended. The answer waits for a
-/// short time for the end of the job, because callers ask most often about jobs
-/// that are about to end and would otherwise learn of it at their next query.
-/// Answers the load of short jobs with tight objectives. Not thread-safe.
+/// Queries for the state of jobs that have not ended or that this host does not
+/// know. The answer about a running job waits for a short time for its end,
+/// because callers ask most often about jobs that are about to end and would
+/// otherwise learn of it at their next query. Answers the load of short jobs
+/// with tight objectives.
+///
+/// The answer about an unknown job waits until the topic of jobs has been read
+/// as of the time of the query: another host may have accepted the job since
+/// the last read. Not thread-safe.
 template <typename Responder>
 class StateQueries {
  public:
@@ -32,20 +41,19 @@
     if (this->queries.size() >= kMaxQueries || patience <= Duration::zero()) {
       return false;
     }
-    const auto wait = std::min<Duration>(kMaxStateWait, patience);
-    this->queries.push_back({job, now + wait, std::move(responder)});
+    this->queries.push_back({job, now, now + patience, std::move(responder)});
     return true;
   }
 
-  /// Removes and returns the queries about jobs that have ended or are no
-  /// longer known, and those that have waited long enough.
-  auto TakeDue(const JobTable& jobs, TimePoint now)
+  /// Removes and returns the queries about jobs that have ended or do not
+  /// exist, and those that have waited long enough. The topic of jobs has been
+  /// read as of `jobs_as_of`.
+  auto TakeDue(const JobTable& jobs, TimePoint jobs_as_of, TimePoint now)
       -> std::vector<std::pair<JobId, Responder>> {
     std::vector<std::pair<JobId, Responder>> due;
     std::erase_if(this->queries, [&](Query& query) {
-      const auto* job = jobs.Find(query.job);
       const bool is_due =
-          now >= query.answer_at || job == nullptr || IsFinal(job->State());
+          now >= query.answer_at || IsDecided(query, jobs, jobs_as_of, now);
       if (is_due) {
         due.emplace_back(std::move(query.job), std::move(query.responder));
       }
@@ -64,10 +72,23 @@
  private:
   struct Query {
     JobId job;
-    TimePoint answer_at;
+    TimePoint arrived_at;
+    TimePoint answer_at;  ///< At the latest.
     Responder responder;
   };
 
+  static auto IsDecided(const Query& query,
+                        const JobTable& jobs,
+                        TimePoint jobs_as_of,
+                        TimePoint now) -> bool {
+    const auto* job = jobs.Find(query.job);
+    if (job != nullptr) {
+      return IsFinal(job->State()) || now >= query.arrived_at + kMaxStateWait;
+    }
+    return now >= query.arrived_at + kMaxUnknownJobWait ||
+           (jobs_as_of >= query.arrived_at && !jobs.IsIncomplete(query.job));
+  }
+
   /// Bounds the open requests of a host; beyond it queries do not wait.
   static constexpr std::size_t kMaxQueries = 1000;
 
--- a/libs/cell/tests/state_queries_test.cc
+++ b/libs/cell/tests/state_queries_test.cc
@@ -53,7 +53,7 @@
         if (test_case.ends_after && passed >= *test_case.ends_after) {
           jobs.OnStateUpdate("a", JobState::kCompleted, 2, clock.Now());
         }
-        if (!queries.TakeDue(jobs, clock.Now()).empty()) {
+        if (!queries.TakeDue(jobs, TimePoint(), clock.Now()).empty()) {
           BOOST_TEST(!answered_after.has_value());
           answered_after = passed;
         }
@@ -72,9 +72,78 @@
   StateQueries<std::string> queries;
   BOOST_TEST(queries.Add(JobId("a"), milliseconds(3000), clock.Now(), "one"));
   BOOST_TEST(queries.Add(JobId("a"), milliseconds(3000), clock.Now(), "two"));
-  BOOST_TEST(queries.TakeDue(jobs, clock.Now()).empty());
+  BOOST_TEST(queries.Add(JobId("b"), milliseconds(3000), clock.Now(), "three"));
+  BOOST_TEST(queries.TakeDue(jobs, TimePoint(), clock.Now()).empty());
   queries.Expire();
-  BOOST_TEST(queries.TakeDue(jobs, clock.Now()).size() == 2U);
+  BOOST_TEST(queries.TakeDue(jobs, TimePoint(), clock.Now()).size() == 3U);
+}
+
+struct UnknownJobCase {
+  const char* name;
+  milliseconds patience;  ///< Of the caller.
+  /// As of when the topic of jobs is read, after the query; empty if it is not
+  /// read any more.
+  std::optional<milliseconds> read_as_of;
+  /// When the read arrives.
+  milliseconds read_after;
+  bool is_in_topic;   ///< The read brings the job.
+  bool has_progress;  ///< Progress of the job is known.
+  milliseconds answered_after;
+};
+
+// Guards against a job that is denied on the strength of a read that is older
+// than the question.
+BOOST_AUTO_TEST_CASE(an_unknown_job_waits_for_a_read_after_the_query) {
+  constexpr milliseconds kPatient(3000);
+  const UnknownJobCase cases[] = {
+      {"read as of the query", kPatient, milliseconds(0), milliseconds(60),
+       false, false, milliseconds(60)},
+      {"read as of a time before", kPatient, milliseconds(-1), milliseconds(60),
+       false, false, kMaxUnknownJobWait},
+      {"not read", kPatient, std::nullopt, milliseconds(0), false, false,
+       kMaxUnknownJobWait},
+      {"accepted elsewhere", kPatient, milliseconds(10), milliseconds(60), true,
+       false, kMaxStateWait},
+      {"accepted elsewhere, read late", kPatient, milliseconds(10),
+       milliseconds(900), true, false, milliseconds(900)},
+      {"known by its progress only", kPatient, milliseconds(10),
+       milliseconds(60), false, true, kMaxUnknownJobWait},
+      {"an impatient caller", milliseconds(100), std::nullopt, milliseconds(0),
+       false, false, milliseconds(100)},
+  };
+  constexpr milliseconds kStep(10);
+  for (const auto& test_case : cases) {
+    BOOST_TEST_CONTEXT(test_case.name) {
+      ManualClock clock;
+      clock.Advance(std::chrono::seconds(10));
+      const auto asked_at = clock.Now();
+      auto as_of = asked_at - milliseconds(500);
+      JobTable jobs;
+      if (test_case.has_progress) {
+        jobs.OnStateUpdate("a", JobState::kRunning, 1, asked_at);
+      }
+      StateQueries<std::string> queries;
+      BOOST_REQUIRE(
+          queries.Add(JobId("a"), test_case.patience, asked_at, "caller"));
+      std::optional<milliseconds> answered_after;
+      for (milliseconds passed{}; passed <= kMaxUnknownJobWait;
+           passed += kStep) {
+        if (test_case.read_as_of && passed >= test_case.read_after) {
+          as_of = asked_at + *test_case.read_as_of;
+          if (test_case.is_in_topic) {
+            AddJob(jobs, clock.Now());
+          }
+        }
+        if (!queries.TakeDue(jobs, as_of, clock.Now()).empty()) {
+          answered_after = passed;
+          break;
+        }
+        clock.Advance(kStep);
+      }
+      BOOST_REQUIRE(answered_after.has_value());
+      BOOST_TEST(answered_after->count() == test_case.answered_after.count());
+    }
+  }
 }
 
 }  // namespace
