Answer a request that was read together with the one before a drain's close

What callers saw: during a planned stop, a request that was sent without waiting for the answer to the one before got neither an answer nor a refusal.

Cause: a drain closes a connection with the response after which nothing is due. It looked at the bytes that the system holds and at a request that is partly parsed, but not at what was read in the same piece as the request being answered: that is parsed once the handler returns, and by then the connection ignored its input.

A connection now knows whether input after its latest request waits to be parsed, and is not closed with a response while it does.

Whether the users' clients pipeline requests is not known, so that this is the cause of their report is not shown.

--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -79,6 +79,7 @@
     if (this->reader.TakeContinue()) {
       this->SendContinueLocked();
     }
+    this->has_unhandled_input = false;
     this->SetPhaseLocked(this->reader.CurrentPhase());
     return;
   }
@@ -95,6 +96,7 @@
     return nullptr;
   }
   this->SetPhaseLocked(RequestReader::Phase::kIdle);
+  this->has_unhandled_input = this->reader.HasBufferedInput();
   auto exchange = std::make_shared<Exchange>();
   exchange->connection = this->shared_from_this();
   exchange->is_head = read.request.method == "HEAD";
@@ -187,10 +189,10 @@
   this->pending.pop_front();
   this->ready_response_bytes -= exchange->header.size() + exchange->body.size();
   // A request that is already being received is served before the close.
-  const bool closes_for_drain = this->state->draining &&
-                                this->pending.empty() &&
-                                this->phase == RequestReader::Phase::kIdle &&
-                                !this->HasUnreadInputLocked();
+  const bool closes_for_drain =
+      this->state->draining && this->pending.empty() &&
+      this->phase == RequestReader::Phase::kIdle &&
+      !this->has_unhandled_input && !this->HasUnreadInputLocked();
   if (closes_for_drain) {
     exchange->closes_connection = true;
     this->ignores_input = true;
--- a/libs/http/src/connection.h
+++ b/libs/http/src/connection.h
@@ -77,6 +77,8 @@
   std::size_t ready_response_bytes = 0;
   OutputQueue output;
   bool ignores_input = false;  ///< No further request is accepted.
+  /// What follows the latest request was read and is not handled yet.
+  bool has_unhandled_input = false;
   bool input_ended = false;
   bool is_write_shut_down = false;  ///< All responses written, FIN sent.
   TimePoint write_shut_down_at;
--- a/libs/http/src/request_reader.h
+++ b/libs/http/src/request_reader.h
@@ -42,6 +42,8 @@
   /// The next request. Nothing can be read after an error.
   auto Next() -> Result;
   auto CurrentPhase() const -> Phase;
+  /// Whether bytes after the latest request wait for the next call.
+  auto HasBufferedInput() const -> bool { return !this->buffer.empty(); }
   /// True once for each request whose sender waits for `100 Continue`.
   auto TakeContinue() -> bool;
 
--- a/libs/http/tests/drain_test.cc
+++ b/libs/http/tests/drain_test.cc
@@ -146,6 +146,40 @@
   BOOST_TEST(socket.IsClosedWithin(kWait));
 }
 
+// Guards against the loss of a request that was read together with the one
+// whose response a drain sends last on the connection.
+BOOST_AUTO_TEST_CASE(DrainAnswersARequestThatWasReadWithTheOneBefore) {
+  std::atomic<bool> is_draining = false;
+  BoundedRing<int> started(4);
+  Server server({}, [&](const Request& request, Responder responder) {
+    if (request.path == "/first") {
+      started.TryPush(1);
+      while (!is_draining) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      }
+      // The drain begins meanwhile.
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    responder.Send({200, {}, request.path});
+  });
+  BOOST_REQUIRE(server.Start());
+  auto socket = RawSocket::Connect(server.Port());
+  socket.Send(
+      "GET /first HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET /second HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_REQUIRE(started.Pop(kWait).has_value());
+  auto left = std::async(std::launch::async, [&] {
+    is_draining = true;
+    return server.Drain(kWait);
+  });
+  BOOST_TEST(socket.ReadResponse().body == "/first");
+  const auto second = socket.ReadResponse();
+  BOOST_TEST(second.status == 200);
+  BOOST_TEST(second.body == "/second");
+  BOOST_TEST(left.get() == 0U);
+  BOOST_TEST(socket.IsClosedWithin(kWait));
+}
+
 // Guards against a drain that never ends, and a stop that waits for a handler
 // that never responds.
 BOOST_AUTO_TEST_CASE(DrainEndsAtItsDeadline) {
