Read all progress before work starts under a leader whose fence was repeated

What callers saw: nothing so far; found by looking for what a leader takes for read or stored. A task whose end is stored and acknowledged would run again.

Cause: a new leader reads the topic of progress up to the end that the answer to its fencing append names. A repeat of that append (the HTTP client repeats it after a lost connection, the gateway sends a second copy through a peer) may be answered with a conflict of sequence numbers, which names no end. The missing field was read as 0, so the leader started work at once, on a view of the progress that is up to a second old. The class of fault: an absent value taken for a small one.

Change: without an end, the leader waits until the topic was read to its end as of a time after the fence.

Whether the users' store answers so is not known.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -154,6 +154,7 @@
            },
            [this](const auto& record) { this->OnProgressRecord(record); },
            [this](const ReadPoint& point) {
+             this->progress_caught_up_at = point.as_of;
              this->service.SetProgressRead(point);
            },
            [](const auto& record) {
@@ -389,11 +390,12 @@
     this->leader->FencePreviousLeader();
     this->policy.OnLeading(now);
   }
-  this->leader->Tick({this->jobs, this->configuration, this->workers.Workers(),
-                      this->jobs_caught_up_at, this->workers_caught_up_at},
-                     this->progress_topic.Position(),
-                     {this->election.HasLeaseAuthority(now),
-                      this->election.HasStartAuthority(now)});
+  this->leader->Tick(
+      {this->jobs, this->configuration, this->workers.Workers(),
+       this->jobs_caught_up_at, this->workers_caught_up_at,
+       this->progress_caught_up_at, this->progress_topic.Position()},
+      {this->election.HasLeaseAuthority(now),
+       this->election.HasStartAuthority(now)});
 }
 
 auto CellDaemon::CollectorEndpoint(TimePoint now) const -> std::string {
--- a/apps/cell/cell_daemon.h
+++ b/apps/cell/cell_daemon.h
@@ -107,7 +107,8 @@
   TimePoint next_announce;
   /// When a read of the jobs topic last reached its end.
   TimePoint jobs_caught_up_at;
-  TimePoint workers_caught_up_at;  ///< The same for the topic of workers.
+  TimePoint workers_caught_up_at;   ///< The same for the topic of workers.
+  TimePoint progress_caught_up_at;  ///< The same for the topic of progress.
   bool is_stopping = false;
   HostServers servers;
 };
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -117,10 +117,12 @@
         this->is_fencing_in_flight = false;
         using Outcome = adapter::AppendResult::Outcome;
         const auto result = adapter::ParseAppendReply(reply);
-        if (result.outcome == Outcome::kStored ||
-            result.outcome == Outcome::kSequenceMismatch) {
+        if (result.outcome == Outcome::kStored) {
           this->first_own_offset = result.end;
           this->fenced_at = this->runtime.clock.Now();
+        } else if (result.outcome == Outcome::kSequenceMismatch) {
+          // An earlier copy of the append has taken effect.
+          this->fenced_at = this->runtime.clock.Now();
         } else if (result.outcome == Outcome::kFenced) {
           this->is_fenced = true;
         }
@@ -211,18 +213,22 @@
   this->dispatcher.OnReplies(batch);
 }
 
-auto Leader::Tick(const View& view,
-                  Offset progress_position,
-                  Authority authority) -> void {
+auto Leader::HasReadProgress(const View& view) const -> bool {
+  return this->first_own_offset
+             ? view.progress_position >= *this->first_own_offset
+             : view.progress_caught_up_at >= this->fenced_at;
+}
+
+auto Leader::Tick(const View& view, Authority authority) -> void {
   const auto now = this->runtime.clock.Now();
-  if (!this->first_own_offset) {
+  if (this->fenced_at == TimePoint()) {
     if (!this->is_fencing_in_flight && now >= this->next_fencing) {
       this->FencePreviousLeader();
     }
     return;
   }
   if (!this->scheduler) {
-    if (progress_position < *this->first_own_offset) {
+    if (!this->HasReadProgress(view)) {
       return;
     }
     // Waits until all jobs with progress are known: the scheduler would stop
--- a/apps/cell/leader.h
+++ b/apps/cell/leader.h
@@ -34,6 +34,10 @@
     TimePoint jobs_caught_up_at;
     /// The same for the topic of workers.
     TimePoint workers_caught_up_at;
+    /// The same for the topic of progress.
+    TimePoint progress_caught_up_at;
+    /// All progress before this offset was handled.
+    Offset progress_position = 0;
   };
 
   /// Called with progress updates once they are stored.
@@ -48,14 +52,11 @@
          OnProgressStored on_progress_stored);
   ~Leader();
 
-  /// Fences off the previous leader's writes. The reply sets
-  /// `first_own_offset`, from which on the progress topic holds none of them.
+  /// Fences off the previous leader's writes.
   auto FencePreviousLeader() -> void;
-  /// Called every few milliseconds. `progress_position` is the offset up to
-  /// which this host has read the progress topic.
-  /// Tasks are also not started while the view of the workers is old.
-  auto Tick(const View& view, Offset progress_position, Authority authority)
-      -> void;
+  /// Called every few milliseconds. Tasks are not started while the view of the
+  /// workers is old.
+  auto Tick(const View& view, Authority authority) -> void;
 
   auto OnConfiguration(const CellConfiguration& configuration) -> void;
   auto OnJob(const JobId& id, const StoredJob& job) -> void;
@@ -78,6 +79,8 @@
     bool is_refusal_reported = false;
   };
 
+  /// Whether all progress that the previous leader stored was read.
+  auto HasReadProgress(const View& view) const -> bool;
   auto StartScheduling(const View& view) -> void;
   auto AddJob(const JobId& id, const StoredJob& job) -> void;
   /// Withholds the authority to start tasks while the view of the workers is
@@ -112,8 +115,10 @@
   std::shared_ptr<bool> lifetime;
   OrderDispatcher dispatcher;
   LeaderReport report;
+  /// From it on the progress topic has no record of the previous leader. The
+  /// answer to a repeated fencing append does not name it.
   std::optional<Offset> first_own_offset;
-  TimePoint fenced_at;  ///< When the previous leader was fenced off.
+  TimePoint fenced_at;  ///< When the previous leader was fenced off, or zero.
   std::unique_ptr<Scheduler> scheduler;
   /// Endpoints of the hosts that send advice queries; empty for this host.
   std::vector<std::string> advisors;
