Do not count on the store's clock for the age of what was read

A read that brings no records counts as of the time until which the store has waited for some. If the store's clock is faster than the host's, it answers earlier, and a slow answer makes the view seem younger than it is, by up to the time that the answer takes. With denials that depend on that age, a job accepted meanwhile would be denied.

Such a read now counts as of 95% of the wait. Found by reading; no test shows it, as the stand-in waits by the clock of its host. unknown_job_test, suspended_host_test and waiting_count_test passed once each.

--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -12,6 +12,9 @@
 /// A read waits in the store for up to this time; an unresponsive connection is
 /// detected soon after.
 constexpr std::chrono::milliseconds kReadWait(800);
+/// The store has waited for at least this time, though its clock may be faster
+/// than that of this host by some percent.
+constexpr std::chrono::milliseconds kMinReadWait(760);
 constexpr std::chrono::milliseconds kRetryDelay(60);
 /// Delay between two reads of which the second is wanted soon. Limits the reads
 /// that callers can cause.
@@ -330,7 +333,7 @@
   // suspended. Without records the store had waited for some.
   this->OnCaughtUp(
       result.records.empty()
-          ? std::min<TimePoint>(now, this->read_sent_at + kReadWait)
+          ? std::min<TimePoint>(now, this->read_sent_at + kMinReadWait)
           : this->read_sent_at,
       ReadSource::kRecords);
   this->next_read =
