Bring reads forward until one answers the question about an unknown job

What callers saw: 503 for a job that does not exist, after 1.5 s, where 410 was possible.

Cause: the wish for a read was lost if a read was in flight. That read began before the question; if it ended with a record, the next one came after the usual delay of 0.4 s and could wait in the store for 0.8 s more.

The wish now holds until a read that began after it has reached the end, and such a read does not wait in the store. A read that brought no records counts as having waited only if it was meant to and took that long.

--- a/apps/cell/topic_follower.cc
+++ b/apps/cell/topic_follower.cc
@@ -19,6 +19,8 @@
 /// Delay between two reads of which the second is wanted soon. Limits the reads
 /// that callers can cause.
 constexpr std::chrono::milliseconds kMinReadDelay(60);
+/// Callers that wait for a read have been answered after this time.
+constexpr std::chrono::milliseconds kWantedFor(1500);
 constexpr int kMaxRetryFactor = 5;
 /// The store sets the size of a page, up to 1 MB. If all hosts read pages at
 /// the same time, as after a restart of the cell, one may take longer than the
@@ -92,12 +94,25 @@
 }
 
 auto TopicFollower::ReadSoon() -> void {
+  this->wanted_at = this->runtime.clock.Now();
   if (this->failures == 0) {
     this->next_read =
         std::min(this->next_read, this->last_read + kMinReadDelay);
   }
 }
 
+auto TopicFollower::IsReadWantedSoon() const -> bool {
+  return this->wanted_at > this->caught_up_as_of &&
+         this->runtime.clock.Now() - this->wanted_at < kWantedFor;
+}
+
+auto TopicFollower::ScheduleNextRead(Duration delay) -> void {
+  this->next_read =
+      this->last_read + (this->IsReadWantedSoon()
+                             ? std::min<Duration>(delay, kMinReadDelay)
+                             : delay);
+}
+
 auto TopicFollower::SetDigestSource(const std::string& source) -> void {
   this->digest_source = source;
   if (source.empty() && this->is_digest_read_in_flight) {
@@ -212,19 +227,24 @@
 }
 
 auto TopicFollower::ReadNext() -> void {
-  this->store.Send(
-      adapter::MakeReadCall(this->runtime.host.store, this->topic.name,
-                            this->position, this->window.Bytes(), kReadWait),
-      [this, from = this->position,
-       is_wanted = this->BeginRead()](const http::Reply& reply) {
-        if (!is_wanted()) {
-          return;
-        }
-        this->runtime.metrics.Add("topic_read_bytes_total", this->topic.label,
-                                  reply.body.size());
-        this->OnRecords(adapter::ParseReadReply(reply, from),
-                        reply.status != 0);
-      });
+  // A read that waits may end with a record that was appended late, and is then
+  // as old as its begin.
+  this->read_wait =
+      this->IsReadWantedSoon() ? std::chrono::milliseconds::zero() : kReadWait;
+  this->store.Send(adapter::MakeReadCall(this->runtime.host.store,
+                                         this->topic.name, this->position,
+                                         this->window.Bytes(), this->read_wait),
+                   [this, from = this->position,
+                    is_wanted = this->BeginRead()](const http::Reply& reply) {
+                     if (!is_wanted()) {
+                       return;
+                     }
+                     this->runtime.metrics.Add("topic_read_bytes_total",
+                                               this->topic.label,
+                                               reply.body.size());
+                     this->OnRecords(adapter::ParseReadReply(reply, from),
+                                     reply.status != 0);
+                   });
 }
 
 auto TopicFollower::ReadNextDigest() -> void {
@@ -274,7 +294,7 @@
     return;
   }
   this->OnCaughtUp(this->read_sent_at - page->age, ReadSource::kDigest);
-  this->next_read = now + this->read_delay;
+  this->ScheduleNextRead(this->read_delay);
 }
 
 auto TopicFollower::UpdateWindow(const adapter::ReadResult& result) -> void {
@@ -331,13 +351,14 @@
   }
   // The reply may have waited in this process, for example while the host was
   // suspended. Without records the store had waited for some.
+  const bool has_waited = result.records.empty() &&
+                          this->read_wait == kReadWait &&
+                          now - this->read_sent_at >= kMinReadWait;
   this->OnCaughtUp(
-      result.records.empty()
-          ? std::min<TimePoint>(now, this->read_sent_at + kMinReadWait)
-          : this->read_sent_at,
+      this->read_sent_at + (has_waited ? kMinReadWait : Duration::zero()),
       ReadSource::kRecords);
-  this->next_read =
-      now + (result.records.empty() ? Duration::zero() : this->read_delay);
+  this->ScheduleNextRead(result.records.empty() ? Duration::zero()
+                                                : this->read_delay);
 }
 
 auto TopicFollower::OnCaughtUp(TimePoint as_of, ReadSource source) -> void {
--- a/apps/cell/topic_follower.h
+++ b/apps/cell/topic_follower.h
@@ -52,7 +52,8 @@
   /// A shorter delay also shortens the current one.
   auto SetReadDelay(Duration delay) -> void;
 
-  /// Brings the next read forward.
+  /// Brings reads forward until one that began after this call has reached the
+  /// end of the topic.
   auto ReadSoon() -> void;
 
   /// Sets the endpoint of the host whose digest is read; empty: none. Once it
@@ -92,6 +93,9 @@
   /// Adapts the size of the next read to the time that this one took.
   auto UpdateWindow(const adapter::ReadResult& result) -> void;
   auto OnCaughtUp(TimePoint as_of, ReadSource source) -> void;
+  auto IsReadWantedSoon() const -> bool;
+  /// Schedules the read that follows one that reached the end.
+  auto ScheduleNextRead(Duration delay) -> void;
   auto ReportSnapshot() const -> void;
   /// Logs once that the topic has not been read to its end for a while.
   auto ReportIfBehind(TimePoint now) -> void;
@@ -125,6 +129,9 @@
   TimePoint next_digest_read;
   TopicDigest digest;
   TimePoint read_sent_at;
+  /// For how long the read in flight may wait in the store.
+  std::chrono::milliseconds read_wait{};
+  TimePoint wanted_at;  ///< Of the latest call of ReadSoon.
   int failures = 0;
   TimePoint next_read;
   TimePoint last_read;
