Close an idle connection before the close is counted

The counter waits for the lock of the metrics between the look at the unread input and the FIN, and a request that arrives meanwhile gets no answer. The gap is narrower now; with a FIN it cannot be closed.

--- a/libs/http/src/connection.cc
+++ b/libs/http/src/connection.cc
@@ -348,12 +348,14 @@
     this->CloseLocked(reason);
     return;
   }
+  // First, without waiting for a lock: a request that arrives between the look
+  // at the unread input and this gets no answer.
+  ::shutdown(this->socket, SHUT_WR);
+  this->is_write_shut_down = true;
+  this->write_shut_down_at = SystemClock().Now();
   if (!reason.empty()) {
     this->state->Count("http_connections_closed_total", reason);
   }
-  this->is_write_shut_down = true;
-  this->write_shut_down_at = SystemClock().Now();
-  ::shutdown(this->socket, SHUT_WR);
 }
 
 auto Connection::Close(const std::string& reason) -> void {
