Take no batch for stored on an answer that names no offset

What callers saw: nothing so far; found by the review of the fence. A job that had ended was shown as running, since its end was not stored.

Cause: the check that an answer covers a batch computed with 0 where the answer named no offset. An append without records has no first record, so a store may leave the offset out; if it counts the fencing append, it answers the first batch like the fence, and the end of the topic alone seemed to cover the batch.

The offset and the end of an append's answer are optional now.

Whether the users' store answers so is not known.

--- a/apps/cell/cell_daemon.cc
+++ b/apps/cell/cell_daemon.cc
@@ -332,8 +332,9 @@
       adapter::MakeAppendCall(this->settings.store, request),
       [this, append, sent](const http::Reply& reply) {
         const auto result = adapter::ParseAppendReply(reply);
-        if (result.outcome == adapter::AppendResult::Outcome::kStored) {
-          this->election.OnAppended(result.offset, append.record, sent);
+        if (result.outcome == adapter::AppendResult::Outcome::kStored &&
+            result.offset) {
+          this->election.OnAppended(*result.offset, append.record, sent);
         } else {
           this->election.OnAppendFailed(this->runtime.clock.Now());
         }
--- a/apps/cell/leader.cc
+++ b/apps/cell/leader.cc
@@ -73,8 +73,9 @@
 /// the answer to the fencing append to a batch with the same sequence number.
 auto CoversBatch(const adapter::AppendResult& result,
                  const ProgressBatch& batch) -> bool {
-  return result.end - result.offset >=
-         batch.segments.size() + batch.records.size();
+  return result.offset && result.end &&
+         *result.end - *result.offset >=
+             batch.segments.size() + batch.records.size();
 }
 
 }  // namespace
@@ -490,7 +491,9 @@
     result.outcome = Outcome::kSequenceMismatch;
   }
   if (result.outcome == Outcome::kStored) {
-    this->PublishProgress(number, result.offset);
+    if (result.offset) {
+      this->PublishProgress(number, *result.offset);
+    }
     this->OnBatchStored(number);
     return;
   }
