Refuse nothing for good on an old configuration

What callers saw: 403 or 404 from a host that had not read the configuration lately, for a key that had moved to the job's organisation or a queue whose path lies below that of another.

Cause: the check that added for unknown routes and keys was not made where a route or key of the old configuration matches and the job does not.

--- a/apps/cell/job_service.cc
+++ b/apps/cell/job_service.cc
@@ -156,15 +156,15 @@
     return;
   }
   if (!adapter::IsJobId(match->rest)) {
-    this->Refuse(context, kNotFound, "malformed-id",
-                 "a job id is 16 hexadecimal digits");
+    this->RefuseAsUnknown(context, kNotFound, "malformed-id",
+                          "a job id is 16 hexadecimal digits");
     return;
   }
   const auto* known = this->view.jobs.Find(context.id);
   if (known != nullptr && known->organisation != context.organisation &&
       !match->route->is_open) {
-    this->Refuse(context, kForbidden, "other-organisation",
-                 "the job belongs to another organisation");
+    this->RefuseAsUnknown(context, kForbidden, "other-organisation",
+                          "the job belongs to another organisation");
     return;
   }
   const bool may_change_jobs =
